--- /dev/null
+++ b/src/main/kotlin/admission/StageTimes.kt
@@ -0,0 +1,68 @@
+/*
+ * Measured times of the stages. Two histograms take turns, so quantiles forget what is older than two windows.
+ */
+package org.sesamerouter.admission
+
+import org.HdrHistogram.Histogram
+
+private const val WINDOW_MS = 10_000L
+private const val REFRESH_MS = 500L
+private const val MIN_SAMPLES = 20L
+private const val LONGEST_MS = 3_600_000L
+private const val DIGITS = 2
+
+/** Names a stage of a pipeline, or the pool and operation of a plain service. */
+data class StageId(val plan: String, val stage: String)
+
+/** Quantiles of the service time of a stage in milliseconds. */
+data class StageQuantiles(val typicalMs: Long, val highMs: Long, val hedgeMs: Long)
+
+/** Service times of every stage that this host has called. Not thread-safe. */
+class StageTimes {
+    private val stages = HashMap<StageId, StageWindow>()
+
+    /** Records that one attempt of [stage] took [ms] on its target. */
+    fun record(stage: StageId, ms: Long, now: Long) {
+        stages.getOrPut(stage) { StageWindow(now) }.record(ms, now)
+    }
+
+    /** Returns the quantiles of [stage]; [expectedMs] stands in until enough was measured. */
+    fun quantiles(stage: StageId, expectedMs: Long, now: Long): StageQuantiles =
+        stages[stage]?.quantiles(now) ?: StageQuantiles(expectedMs, expectedMs * 2, expectedMs * 4)
+}
+
+private class StageWindow(private var startedMs: Long) {
+    private var current = Histogram(LONGEST_MS, DIGITS)
+    private var previous = Histogram(LONGEST_MS, DIGITS)
+    private var cached: StageQuantiles? = null
+    private var cachedAtMs = Long.MIN_VALUE / 2
+
+    fun record(ms: Long, now: Long) {
+        rotate(now)
+        current.recordValue(ms.coerceIn(0, LONGEST_MS))
+    }
+
+    fun quantiles(now: Long): StageQuantiles? {
+        if (now - cachedAtMs < REFRESH_MS) return cached
+        cachedAtMs = now
+        rotate(now)
+        val merged = current.copy()
+        merged.add(previous)
+        if (merged.totalCount < MIN_SAMPLES) return cached
+        cached = StageQuantiles(
+            maxOf(1, merged.getValueAtPercentile(50.0)),
+            maxOf(1, merged.getValueAtPercentile(90.0)),
+            maxOf(1, merged.getValueAtPercentile(95.0)),
+        )
+        return cached
+    }
+
+    private fun rotate(now: Long) {
+        if (now - startedMs < WINDOW_MS) return
+        val emptied = previous
+        previous = current
+        emptied.reset()
+        current = emptied
+        startedMs = now
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cli/BenchCommand.kt
@@ -0,0 +1,102 @@
+/*
+ * Load against entry hosts that run elsewhere on this machine.
+ */
+package org.sesamerouter.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.split
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.double
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.michaelbull.result.getOrElse
+import kotlinx.serialization.Serializable
+import org.sesamerouter.api.PrettyJson
+import org.sesamerouter.configuration.PipelineSpec
+import org.sesamerouter.configuration.ResourceKind
+import org.sesamerouter.configuration.readSpec
+import org.sesamerouter.experiment.Breaches
+import org.sesamerouter.experiment.CallerContext
+import org.sesamerouter.experiment.EXAMPLES
+import org.sesamerouter.experiment.GroupReport
+import org.sesamerouter.experiment.HistoryChecker
+import org.sesamerouter.experiment.LoadDriver
+import org.sesamerouter.experiment.LoadPhase
+import org.sesamerouter.experiment.groupReport
+import org.sesamerouter.experiment.groupTable
+import org.sesamerouter.experiment.newGroup
+import org.sesamerouter.experiment.readExample
+import org.sesamerouter.web.HttpClient
+import java.util.Random
+
+/** What a bench measured. Runs on targets are not seen, so doubled and untrue "not run" are not judged here. */
+@Serializable
+data class BenchReport(
+    val rate: Double,
+    val seconds: Double,
+    val seed: Long,
+    val groups: List<GroupReport>,
+    val breaches: Breaches,
+)
+
+internal class BenchCommand : CliktCommand("bench") {
+    private val hosts by option("--hosts", help = "addresses of entry hosts, with commas").split(",").required()
+    private val example by option(
+        "--example",
+        help = "whose mix to send",
+    ).choice(*EXAMPLES.toTypedArray()).default(EXAMPLES.first())
+    private val rate by option("--rate", help = "requests a second").double().default(50.0)
+    private val seconds by option("--seconds").double().default(10.0)
+    private val seed by option("--seed").long().default(1)
+    private val report by option("--report", help = "file for the JSON report").file()
+
+    override fun help(context: Context) = "Sends an example's mix to running hosts on loopback and checks every answer."
+
+    override fun run() {
+        if (hosts.any { !it.startsWith("127.") }) {
+            throw CliktError(
+                "bench sends load to loopback only; pass addresses of 127.0.0.0/8",
+                statusCode = INVALID_INPUT_STATUS,
+            )
+        }
+        val read = readExample(example)
+        val pipelines = read.declarations.filter { it.kind == ResourceKind.PIPELINE }.associate {
+            it.name to readSpec(it.kind, it.name, it.spec).getOrElse { f -> error(f) } as PipelineSpec
+        }
+        val checker = HistoryChecker()
+        val driver = LoadDriver(read.traffic, dataCentresOf(read.declarations), seed, checker)
+        val group = newGroup(2)
+        val random = Random(seed)
+        val context =
+            CallerContext(HttpClient(group), pipelines, driver.timer) {
+                synchronized(random) { hosts[random.nextInt(hosts.size)] }
+            }
+        driver.run(context, listOf(LoadPhase(seconds, rate)))
+        driver.close()
+        group.shutdownGracefully()
+        show(checker)
+    }
+
+    private fun dataCentresOf(items: List<org.sesamerouter.configuration.Declaration>): List<String> =
+        items.filter { it.kind == ResourceKind.POOL }.flatMap { item ->
+            val spec = readSpec(item.kind, item.name, item.spec).getOrElse { emptyList<String>() }
+            (spec as? org.sesamerouter.configuration.PoolSpec)?.targets.orEmpty().map { it.dataCentre }
+        }.distinct()
+
+    private fun show(checker: HistoryChecker) {
+        val calls = checker.calls()
+        val groups = calls.groupBy { it.entry.name }.toSortedMap().map { (name, part) -> groupReport(name, part) } +
+            groupReport("all", calls)
+        val result = BenchReport(rate, seconds, seed, groups, checker.breaches())
+        echo(groupTable(groups))
+        echo("lost ${result.breaches.lost}, crossed ${result.breaches.crossed}, cut ${result.breaches.cut}")
+        report?.writeText(PrettyJson.encodeToString(BenchReport.serializer(), result) + "\n")
+        if (result.breaches.lost + result.breaches.crossed + result.breaches.cut > 0) throw ProgramResult(1)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cli/Logs.kt
@@ -0,0 +1,39 @@
+/*
+ * Sets up the logs as the settings say: text or JSON lines on standard error.
+ */
+package org.sesamerouter.cli
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.ConsoleAppender
+import ch.qos.logback.core.encoder.Encoder
+import net.logstash.logback.encoder.LogstashEncoder
+import org.sesamerouter.settings.LogSettings
+import org.slf4j.LoggerFactory
+
+/** Applies [settings] to all loggers. */
+internal fun configureLogs(settings: LogSettings) {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    context.reset()
+    val appender = ConsoleAppender<ILoggingEvent>()
+    appender.context = context
+    appender.target = "System.err"
+    appender.encoder = encoderOf(settings.format, context)
+    appender.start()
+    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+    root.level = Level.toLevel(settings.level)
+    root.addAppender(appender)
+    context.getLogger("io.netty").level = Level.WARN
+}
+
+private fun encoderOf(format: String, context: LoggerContext): Encoder<ILoggingEvent> {
+    if (format == "json") return LogstashEncoder().also { it.start() }
+    val encoder = PatternLayoutEncoder()
+    encoder.context = context
+    encoder.pattern = "%d{HH:mm:ss.SSS} %-5level %logger{0}: %msg%n"
+    encoder.start()
+    return encoder
+}
--- /dev/null
+++ b/src/main/kotlin/cli/Main.kt
@@ -0,0 +1,33 @@
+/*
+ * The program's entry point: one command line for the server, for operators, for the stand-ins and for measuring.
+ */
+package org.sesamerouter.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
+internal class SesamerouterCommand : CliktCommand("sesamerouter") {
+    override fun help(context: Context) = "Serves multi-stage model pipelines. See docs/OPERATIONS.md."
+
+    override fun run() = Unit
+}
+
+/** Runs the command line. */
+fun main(args: Array<String>) {
+    SesamerouterCommand()
+        .subcommands(
+            ServeCommand(),
+            CheckCommand(),
+            ApplyCommand(),
+            GetCommand(),
+            WatchCommand(),
+            DeleteCommand(),
+            DumpCommand(),
+            StandinCommand(),
+            DemoCommand(),
+            BenchCommand(),
+        )
+        .main(args)
+}
--- /dev/null
+++ b/src/main/kotlin/cli/OperatorCommands.kt
@@ -0,0 +1,224 @@
+/*
+ * The operator's client of the resource interface.
+ */
+package org.sesamerouter.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.optional
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.clikt.parameters.types.long
+import kotlinx.serialization.json.JsonElement
+import org.sesamerouter.api.PrettyJson
+import org.sesamerouter.api.WireJson
+import org.sesamerouter.configuration.Declaration
+import org.sesamerouter.configuration.ResourceKind
+import org.sesamerouter.experiment.newGroup
+import org.sesamerouter.host.ChangeAccepted
+import org.sesamerouter.host.OperatorRefusal
+import org.sesamerouter.host.PutBody
+import org.sesamerouter.host.ResourceAnswer
+import org.sesamerouter.host.ResourceList
+import org.sesamerouter.web.ClientRequest
+import org.sesamerouter.web.FetchOutcome
+import org.sesamerouter.web.HttpClient
+import org.sesamerouter.web.HttpReply
+import org.sesamerouter.web.ReplyListener
+import java.util.concurrent.CountDownLatch
+
+private const val OK = 200
+private const val SETTLE_POLL_MS = 200L
+private const val SETTLE_LONGEST_MS = 30_000L
+private const val REFUSED_STATUS = 3
+private const val DEFAULT_HOST = "127.0.0.1:23000"
+private const val HOST_HELP = "address of any entry host"
+private const val OUTPUT_HELP = "table or json"
+
+/** A connection of a command to one entry host. */
+internal class OperatorClient(private val address: String) : AutoCloseable {
+    private val group = newGroup(1)
+    val http = HttpClient(group)
+
+    /** Sends a request and returns the reply, or ends the command. */
+    fun call(method: String, path: String, body: String = ""): HttpReply {
+        val outcome = http.fetchBlocking(address, ClientRequest(method, path, body))
+        if (outcome is FetchOutcome.Replied) return outcome.reply
+        throw CliktError("$address does not answer; pass another entry host with --host")
+    }
+
+    /** Returns the reply's body, or ends the command with what the host said. */
+    fun get(path: String): String {
+        val reply = call("GET", path)
+        if (reply.status != OK) throw refusedError(reply)
+        return reply.body
+    }
+
+    override fun close() {
+        group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS)
+    }
+}
+
+internal fun refusedError(reply: HttpReply): CliktError {
+    val refusal = try {
+        WireJson.decodeFromString(OperatorRefusal.serializer(), reply.body)
+    } catch (_: IllegalArgumentException) {
+        OperatorRefusal("the host answered ${reply.status}")
+    }
+    val lines = listOf("${refusal.reason}; ${refusal.remedy}") + refusal.faults.map { "  $it" }
+    return CliktError(lines.joinToString("\n"), statusCode = REFUSED_STATUS)
+}
+
+internal fun kindOf(label: String): ResourceKind = ResourceKind.of(label)
+    ?: throw CliktError(
+        "there is no kind $label; use ${ResourceKind.entries.joinToString {
+            it.label
+        }}",
+        statusCode = 2,
+    )
+
+internal class ApplyCommand : CliktCommand("apply") {
+    private val place by argument("DIR|FILE", help = "declarations").file(mustExist = true)
+    private val host by option("--host", help = HOST_HELP).default(DEFAULT_HOST)
+    private val author by option("--author", help = "who changes, shown with refusals").default("")
+    private val wait by option("--wait", help = "end when every live host has the changes in force").flag()
+
+    override fun help(context: Context) = "Applies declarations; shows what was accepted and what was refused."
+
+    override fun run() {
+        val read = readDeclarations(place)
+        if (read.faults.isNotEmpty()) throw faultsError(read.faults)
+        OperatorClient(host).use { client ->
+            val refused = read.items.count { !apply(client, it) }
+            if (wait) read.items.forEach { awaitSettled(client, it) }
+            if (refused > 0) throw CliktError("$refused of ${read.items.size} refused", statusCode = REFUSED_STATUS)
+        }
+    }
+
+    private fun apply(client: OperatorClient, item: Declaration): Boolean {
+        val label = "${item.kind.label}/${item.name}"
+        val current = client.call("GET", pathOf(item))
+        val known = if (current.status == OK) decodeResource(current.body) else null
+        if (known != null && known.spec == item.spec) {
+            echo("$label unchanged at generation ${known.generation}")
+            return true
+        }
+        val body = PutBody(item.spec, item.generation ?: known?.generation ?: 0, author)
+        val reply = client.call("PUT", pathOf(item), WireJson.encodeToString(PutBody.serializer(), body))
+        if (reply.status != OK) {
+            echo("$label refused: ${refusedError(reply).message}", err = true)
+            return false
+        }
+        val accepted = WireJson.decodeFromString(ChangeAccepted.serializer(), reply.body)
+        echo("$label accepted as generation ${accepted.generation} at revision ${accepted.revision}")
+        return true
+    }
+
+    private fun awaitSettled(client: OperatorClient, item: Declaration) {
+        val until = System.nanoTime() + SETTLE_LONGEST_MS * 1_000_000
+        while (true) {
+            val reply = client.call("GET", pathOf(item))
+            if (reply.status != OK) return
+            val status = decodeResource(reply.body).status
+            if (status.settled) break
+            if (System.nanoTime() > until) {
+                throw CliktError("${item.kind.label}/${item.name} waits for ${status.waitingFor}; look at those hosts")
+            }
+            echo("${item.kind.label}/${item.name} waits for ${status.waitingFor.joinToString()}")
+            Thread.sleep(SETTLE_POLL_MS)
+        }
+        echo("${item.kind.label}/${item.name} settled")
+    }
+
+    private fun pathOf(item: Declaration) = "/v1/resources/${item.kind.label}/${item.name}"
+}
+
+private fun decodeResource(body: String) = WireJson.decodeFromString(ResourceAnswer.serializer(), body)
+
+internal class GetCommand : CliktCommand("get") {
+    private val kind by argument("KIND")
+    private val name by argument("NAME").optional()
+    private val host by option("--host", help = HOST_HELP).default(DEFAULT_HOST)
+    private val output by option("--output", help = OUTPUT_HELP).choice("table", "json").default("table")
+
+    override fun help(context: Context) = "Shows resources with their status."
+
+    override fun run() = OperatorClient(host).use { client ->
+        val path = "/v1/resources/${kindOf(kind).label}" + name?.let { "/$it" }.orEmpty()
+        val body = client.get(path)
+        if (output == "json") {
+            echo(PrettyJson.encodeToString(JsonElement.serializer(), WireJson.parseToJsonElement(body)))
+        } else {
+            val items = if (name != null) {
+                listOf(decodeResource(body))
+            } else {
+                WireJson.decodeFromString(ResourceList.serializer(), body).items
+            }
+            echo("%-14s %-24s %10s %9s  %s".format("KIND", "NAME", "GENERATION", "REVISION", "STATUS"))
+            items.forEach { echo(row(it)) }
+        }
+    }
+
+    private fun row(item: ResourceAnswer): String {
+        val status = if (item.status.settled) "settled" else "waits for ${item.status.waitingFor.joinToString()}"
+        val refusals = item.status.refusals.joinToString("") { "\n    refused ${it.id} of ${it.author}: ${it.reason}" }
+        return "%-14s %-24s %10d %9d  %s".format(item.kind.label, item.name, item.generation, item.revision, status) +
+            refusals
+    }
+}
+
+internal class WatchCommand : CliktCommand("watch") {
+    private val kind by argument("KIND").optional()
+    private val host by option("--host", help = HOST_HELP).default(DEFAULT_HOST)
+    private val from by option("--from", help = "revision to watch from").long().default(-1)
+
+    override fun help(context: Context) = "Shows changes as they are accepted, refused and settled, one JSON line each."
+
+    override fun run() = OperatorClient(host).use { client ->
+        val ended = CountDownLatch(1)
+        val query = "?from=$from" + kind?.let { "&kind=${kindOf(it).label}" }.orEmpty()
+        val listener = object : ReplyListener {
+            override fun onLine(line: String) = echo(line)
+
+            override fun onEnd() = ended.countDown()
+
+            override fun onFailed(sent: Boolean, cause: String) = ended.countDown()
+        }
+        client.http.send(host, ClientRequest("GET", "/v1/watch$query"), listener)
+        ended.await()
+        throw CliktError("the watch ended; watch again from the last revision, at another host if need be")
+    }
+}
+
+internal class DeleteCommand : CliktCommand("delete") {
+    private val kind by argument("KIND")
+    private val name by argument("NAME")
+    private val host by option("--host", help = HOST_HELP).default(DEFAULT_HOST)
+    private val generation by option("--generation", help = "delete only this generation").long()
+
+    override fun help(context: Context) = "Deletes a resource."
+
+    override fun run() = OperatorClient(host).use { client ->
+        val query = generation?.let { "?generation=$it" }.orEmpty()
+        val reply = client.call("DELETE", "/v1/resources/${kindOf(kind).label}/$name$query")
+        if (reply.status != OK) throw refusedError(reply)
+        echo("$kind/$name deleted")
+    }
+}
+
+internal class DumpCommand : CliktCommand("dump") {
+    private val host by option("--host", help = HOST_HELP).default(DEFAULT_HOST)
+
+    override fun help(context: Context) = "Shows the state of every slice of one host as JSON."
+
+    override fun run() = OperatorClient(host).use { client ->
+        val body = client.get("/v1/dump")
+        echo(PrettyJson.encodeToString(JsonElement.serializer(), WireJson.parseToJsonElement(body)))
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cli/ServeCommand.kt
@@ -0,0 +1,53 @@
+/*
+ * Runs an entry host until it is asked to stop.
+ */
+package org.sesamerouter.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.michaelbull.result.getOrElse
+import org.sesamerouter.configuration.SpecFault
+import org.sesamerouter.host.startEntryHost
+import org.sesamerouter.settings.Settings
+import org.sesamerouter.settings.readSettings
+import java.io.File
+import java.util.concurrent.CountDownLatch
+
+internal const val INVALID_INPUT_STATUS = 2
+
+internal class ServeCommand : CliktCommand("serve") {
+    private val settings by option("--settings", help = "TOML settings of this host")
+        .file(mustExist = true, canBeDir = false)
+        .required()
+
+    override fun help(context: Context) =
+        "Runs an entry host. SIGTERM stops it as planned: it leaves the address answers and ends what runs."
+
+    override fun run() {
+        val read = loadSettings(settings)
+        configureLogs(read.logs)
+        val host = startEntryHost(read)
+        val stopped = CountDownLatch(1)
+        Runtime.getRuntime().addShutdownHook(Thread { stopOnce(host::stop, stopped) })
+        stopped.await()
+    }
+
+    /** The process ends with status 0 after a planned stop, whatever signal asked for it. */
+    private fun stopOnce(stop: () -> Unit, stopped: CountDownLatch) {
+        stop()
+        stopped.countDown()
+        Runtime.getRuntime().halt(0)
+    }
+}
+
+/** Reads settings or ends the command with all faults. */
+internal fun loadSettings(file: File): Settings =
+    readSettings(file.readText()).getOrElse { faults -> throw faultsError(faults.map { "${file.path}: $it" }) }
+
+internal fun faultsError(lines: List<String>) = CliktError(lines.joinToString("\n"), statusCode = INVALID_INPUT_STATUS)
+
+internal fun faultsOf(file: File, faults: List<SpecFault>): List<String> = faults.map { "${file.path}: $it" }
--- /dev/null
+++ b/src/main/kotlin/experiment/Deployment.kt
@@ -0,0 +1,197 @@
+/*
+ * A deployment on loopback within one process: stand-ins of platform and targets, and entry hosts with real sockets.
+ */
+package org.sesamerouter.experiment
+
+import com.github.michaelbull.result.getOrElse
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.sesamerouter.api.WireJson
+import org.sesamerouter.configuration.Declaration
+import org.sesamerouter.configuration.PipelineSpec
+import org.sesamerouter.configuration.PoolSpec
+import org.sesamerouter.configuration.ResourceKind
+import org.sesamerouter.configuration.readSpec
+import org.sesamerouter.host.EntryHost
+import org.sesamerouter.host.HostOptions
+import org.sesamerouter.host.PutBody
+import org.sesamerouter.host.startEntryHost
+import org.sesamerouter.membership.ListedHost
+import org.sesamerouter.settings.HostSettings
+import org.sesamerouter.settings.LimitSettings
+import org.sesamerouter.settings.ListenSettings
+import org.sesamerouter.settings.PlatformSettings
+import org.sesamerouter.settings.Settings
+import org.sesamerouter.settings.TimingSettings
+import org.sesamerouter.standin.HostListStandin
+import org.sesamerouter.standin.LogStandin
+import org.sesamerouter.standin.RunRecord
+import org.sesamerouter.standin.TargetStandin
+import org.sesamerouter.web.ClientRequest
+import org.sesamerouter.web.FetchOutcome
+import org.sesamerouter.web.HttpClient
+
+private const val ANY_PORT = "127.0.0.1:0"
+private const val STANDIN_THREADS = 2
+private const val CALLER_THREADS = 2
+private const val SETTLE_POLL_MS = 20L
+private const val SETTLE_LONGEST_MS = 30_000L
+
+/** What a deployment is made of. */
+data class DeploymentOptions(
+    val hosts: Int = 6,
+    val naive: Boolean = false,
+    val seed: Long = 1,
+    val timing: TimingSettings = TimingSettings(
+        addressLifetimeMs = 1_000,
+        probeIntervalMs = 200,
+        loadPollMs = 100,
+        hostListPollMs = 200,
+    ),
+    val limits: LimitSettings = LimitSettings(),
+)
+
+/** A running deployment of [example]. [onRun] hears of every run on a target. */
+class Deployment(
+    val example: Example,
+    private val options: DeploymentOptions = DeploymentOptions(),
+    private val onRun: (RunRecord) -> Unit = {},
+) : AutoCloseable {
+    private val standinGroup = newGroup(STANDIN_THREADS)
+    private val callerGroup = newGroup(CALLER_THREADS)
+
+    /** The client that callers use. */
+    val client = HttpClient(callerGroup)
+    val log = LogStandin(ANY_PORT, standinGroup)
+    val hostList = HostListStandin(ANY_PORT, standinGroup)
+    private val pools = example.declarations.filter { it.kind == ResourceKind.POOL }
+        .associate { it.name to specOf<PoolSpec>(it) }
+
+    /** Pipelines as they are declared. */
+    val pipelines: Map<String, PipelineSpec> = example.declarations.filter { it.kind == ResourceKind.PIPELINE }
+        .associate { it.name to specOf<PipelineSpec>(it) }
+
+    /** Stand-ins of the targets by pool. */
+    val targets: Map<String, List<TargetStandin>> = pools.mapValues { (pool, spec) ->
+        val behaviour = example.traffic.pools.getValue(pool)
+        spec.targets.map { target ->
+            val own = behaviour.copy(slots = target.slots, checksFencing = target.checksFencing)
+            TargetStandin(target.name, ANY_PORT, standinGroup, own, onRun)
+        }
+    }
+    private val running = ArrayList<EntryHost>()
+
+    /** The entry hosts that run now. */
+    val hosts: List<EntryHost> get() = synchronized(running) { running.toList() }
+
+    init {
+        repeat(options.hosts) { startHost(it) }
+    }
+
+    /** Starts the host with number [index], as a new incarnation if it ran before. */
+    fun startHost(index: Int): EntryHost {
+        val dataCentres = pools.values.flatMap { it.targets }.map { it.dataCentre }.distinct()
+        val settings = Settings(
+            HostSettings("host-${index + 1}", dataCentres[index % dataCentres.size]),
+            ListenSettings(trafficThreads = 1),
+            PlatformSettings(log.address, hostList.address, hosts.map { it.peerAddress }),
+            options.limits,
+            options.timing,
+        )
+        val host = startEntryHost(settings, HostOptions(naive = options.naive, seed = options.seed + index))
+        synchronized(running) { running.add(host) }
+        listHosts()
+        return host
+    }
+
+    /** Kills [host] as SIGKILL does. */
+    fun kill(host: EntryHost) {
+        synchronized(running) { running.remove(host) }
+        host.kill()
+        listHosts()
+    }
+
+    /** Stops [host] as planned, and waits for it. */
+    fun stop(host: EntryHost) {
+        host.stop()
+        synchronized(running) { running.remove(host) }
+        listHosts()
+    }
+
+    /** Applies the declarations of the example and waits until they are settled on every host. */
+    fun apply() {
+        awaitReady()
+        example.declarations.forEach { put(it.copy(spec = withAddresses(it))) }
+        awaitSettled()
+    }
+
+    /** Puts [declaration] through any host and returns the status of the answer. */
+    fun put(declaration: Declaration): Int {
+        val body = WireJson.encodeToString(PutBody.serializer(), PutBody(declaration.spec, declaration.generation))
+        val path = "/v1/resources/${declaration.kind.label}/${declaration.name}"
+        val outcome = client.fetchBlocking(hosts.first().httpAddress, ClientRequest("PUT", path, body))
+        return (outcome as? FetchOutcome.Replied)?.reply?.status ?: 0
+    }
+
+    /** Waits until every host has everything accepted in force and knows so. */
+    fun awaitSettled() = await("the configuration did not settle") {
+        val revisions = hosts.map { it.dump().configuration }
+        revisions.map { it.revision }.distinct().size == 1 && revisions.all { it.settledRevision == it.revision }
+    }
+
+    /** Waits until all hosts are ready and see each other. */
+    fun awaitReady() = await("the hosts did not become ready") {
+        hosts.all { host ->
+            val dump = host.dump()
+            dump.configuration.ready && dump.membership.members.count { it.isLive && it.ready } == hosts.size
+        }
+    }
+
+    override fun close() {
+        hosts.forEach { it.kill() }
+        targets.values.flatten().forEach { it.close() }
+        log.close()
+        hostList.close()
+        callerGroup.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS).syncUninterruptibly()
+        standinGroup.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS).syncUninterruptibly()
+    }
+
+    private fun listHosts() = hostList.set(hosts.map { ListedHost(it.peerAddress, entry = true) })
+
+    private fun await(problem: String, condition: () -> Boolean) {
+        val until = System.nanoTime() + SETTLE_LONGEST_MS * 1_000_000
+        while (!condition()) {
+            check(System.nanoTime() < until) { "$problem; look at the state dumps." }
+            Thread.sleep(SETTLE_POLL_MS)
+        }
+    }
+
+    /** Puts the addresses that the stand-ins got in place of the declared ones. */
+    private fun withAddresses(declaration: Declaration): JsonObject {
+        val standins = targets[declaration.name]
+        if (declaration.kind != ResourceKind.POOL || standins == null) return declaration.spec
+        val declared = declaration.spec.getValue("targets").jsonArray
+        val placed = declared.map { target -> placed(target.jsonObject, standins) }
+        return JsonObject(declaration.spec + ("targets" to JsonArray(placed)))
+    }
+
+    private fun placed(target: JsonObject, standins: List<TargetStandin>): JsonElement {
+        val name = target.getValue("name").jsonPrimitive.content
+        val address = standins.first { it.name == name }.address
+        return JsonObject(target + ("address" to JsonPrimitive(address)))
+    }
+}
+
+private inline fun <reified S> specOf(declaration: Declaration): S =
+    readSpec(declaration.kind, declaration.name, declaration.spec)
+        .getOrElse { error("${declaration.kind} ${declaration.name}: $it") } as S
+
+internal fun newGroup(threads: Int): EventLoopGroup = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
--- /dev/null
+++ b/src/main/kotlin/experiment/HistoryChecker.kt
@@ -0,0 +1,104 @@
+/*
+ * Checks the history of every request: what its caller was told against what the targets saw. Every input carries a
+ * unique member, so that runs are known by content and not by any name that the system gives.
+ */
+package org.sesamerouter.experiment
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.sesamerouter.standin.RunRecord
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Member of an input that names the request it belongs to. */
+const val UID_MEMBER = "uid"
+
+/** How a request ended for its caller. */
+enum class Ending {
+    /** Whole and right, within the deadline. */
+    ATTAINED,
+
+    /** Whole and right, but late. */
+    LATE,
+
+    /** Refused, truly not run. */
+    NOT_RUN,
+
+    /** Refused after it ran, at least in part. */
+    FAILED,
+
+    /** In progress or outcome unknown. */
+    UNKNOWN,
+
+    /** Whole, but another request's answer. */
+    CROSSED,
+
+    /** Shown as whole, but not whole. */
+    CUT,
+
+    /** No answer at all. */
+    LOST,
+}
+
+/** One request as its caller saw it. */
+data class CallRecord(
+    val uid: String,
+    val entry: MixEntry,
+    val organisation: String,
+    val poison: Boolean,
+    val ending: Ending,
+    val reason: String,
+    val latencyMs: Double,
+    val firstTokenMs: Double,
+)
+
+/** Breaches of what must always hold. */
+@Serializable
+data class Breaches(
+    val lost: Int = 0,
+    val doubled: Int = 0,
+    val crossed: Int = 0,
+    val cut: Int = 0,
+    val untrueNotRun: Int = 0,
+) {
+    val total: Int get() = lost + doubled + crossed + cut + untrueNotRun
+}
+
+/** Collects runs and calls and finds breaches. Thread-safe. */
+class HistoryChecker {
+    private val runs = ConcurrentHashMap<String, AtomicInteger>()
+    private val calls = ConcurrentHashMap<String, CallRecord>()
+
+    /** Takes in a run on a target. */
+    fun onRun(run: RunRecord) {
+        val uid = uidOf(run.input) ?: return
+        runs.computeIfAbsent(uid) { AtomicInteger() }.incrementAndGet()
+    }
+
+    /** Takes in the end of a call. */
+    fun onCall(call: CallRecord) {
+        calls[call.uid] = call
+    }
+
+    /** Returns all calls. */
+    fun calls(): List<CallRecord> = calls.values.toList()
+
+    /** Returns the breaches of the history so far. */
+    fun breaches(): Breaches {
+        val all = calls.values
+        return Breaches(
+            lost = all.count { it.ending == Ending.LOST },
+            doubled = all.count { it.entry.once && runsOf(it.uid) > 1 },
+            crossed = all.count { it.ending == Ending.CROSSED },
+            cut = all.count { it.ending == Ending.CUT },
+            untrueNotRun = all.count { it.ending == Ending.NOT_RUN && runsOf(it.uid) > 0 },
+        )
+    }
+
+    private fun runsOf(uid: String): Int = runs[uid]?.get() ?: 0
+}
+
+/** Returns the unique member of [input]. */
+fun uidOf(input: JsonElement): String? = ((input as? JsonObject)?.get(UID_MEMBER) as? JsonPrimitive)?.content
--- /dev/null
+++ b/src/main/kotlin/host/EntryHost.kt
@@ -0,0 +1,247 @@
+/*
+ * One entry host: puts the slices together, runs them on the control thread and opens the sockets. Start order: link
+ * between hosts, HTTP, then time. A planned stop leaves the address answers, serves for the lifetime of the answers
+ * given, ends what runs and only then closes.
+ */
+package org.sesamerouter.host
+
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import org.sesamerouter.clock.Clock
+import org.sesamerouter.clock.systemClock
+import org.sesamerouter.configuration.ConfigurationKeeper
+import org.sesamerouter.configuration.ConfigurationState
+import org.sesamerouter.configuration.catalogueOf
+import org.sesamerouter.ledger.Holder
+import org.sesamerouter.ledger.Ledger
+import org.sesamerouter.log.httpPlatformLog
+import org.sesamerouter.membership.Member
+import org.sesamerouter.membership.MemberStatus
+import org.sesamerouter.membership.Membership
+import org.sesamerouter.membership.PeerLink
+import org.sesamerouter.orders.OrderController
+import org.sesamerouter.pipeline.RequestCoordinator
+import org.sesamerouter.pipeline.RequestEvent
+import org.sesamerouter.pipeline.ServingPolicy
+import org.sesamerouter.pipeline.ServingState
+import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.routing.TargetChooser
+import org.sesamerouter.routing.defaultTargetChooser
+import org.sesamerouter.routing.randomTargetChooser
+import org.sesamerouter.routing.rendezvous
+import org.sesamerouter.settings.Settings
+import org.sesamerouter.target.AttemptRunner
+import org.sesamerouter.web.HttpClient
+import org.sesamerouter.web.HttpServer
+import org.sesamerouter.web.startHttpServer
+import org.slf4j.LoggerFactory
+import java.util.Random
+import java.util.concurrent.CompletableFuture
+import java.util.random.RandomGenerator
+
+private const val TICK_MS = 5L
+private const val VIEW_EVERY_TICKS = 10
+private const val DRAIN_POLL_MS = 20L
+private const val DRAIN_LONGEST_MS = 600_000L
+private const val CLOSE_PATIENCE_MS = 5_000L
+
+/** What may be set beside the settings: for tests and for comparing policies. */
+data class HostOptions(
+    val policy: ServingPolicy = ServingPolicy(),
+    val naive: Boolean = false,
+    val clock: Clock = systemClock(),
+    val seed: Long = System.nanoTime(),
+)
+
+/** A running entry host. */
+class EntryHost internal constructor(val settings: Settings, options: HostOptions) {
+    private val logger = LoggerFactory.getLogger(EntryHost::class.java)
+    private val clock = options.clock
+    private val random: RandomGenerator = Random(options.seed)
+    internal val loop = ControlLoop(settings.host.id)
+    internal val group: EventLoopGroup =
+        MultiThreadIoEventLoopGroup(settings.listen.trafficThreads, NioIoHandler.newFactory())
+    internal val client = HttpClient(group)
+    internal val link = PeerLink(settings.listen.peer)
+    private val log = httpPlatformLog(client, settings.platform.log)
+    private val holder = Holder(settings.host.id, clock.nowMs())
+    internal val ledger = Ledger(holder, settings.limits.maxKeys)
+    internal val serving = ServingState(
+        ledger,
+        quarantine = Quarantine(settings.timing.quarantineMs, settings.limits.maxSuspects),
+    )
+    internal val runner = AttemptRunner(client)
+    internal val keeper = ConfigurationKeeper(settings.host.id, settings.timing.snapshotIntervalMs)
+    internal val orders = OrderController(holder, settings.timing.leaseMs)
+    internal lateinit var membership: Membership
+    internal lateinit var coordinator: RequestCoordinator
+    internal lateinit var traffic: TrafficAdapter
+    internal lateinit var claims: ClaimAdapter
+    internal lateinit var configuration: ConfigurationAdapter
+    internal lateinit var peers: PeerAdapter
+    private lateinit var targets: TargetAdapter
+    private lateinit var server: HttpServer
+    private val policy = if (options.naive) ServingPolicy.NAIVE else options.policy
+    private val isNaive = options.naive
+    private var ticks = 0L
+    private var nextEpochMs = clock.nowMs() + settings.timing.epochMs
+    private var leaving = false
+
+    /** What any thread may read. */
+    @Volatile
+    internal lateinit var view: HostView
+        private set
+
+    /** Address for callers and operators. */
+    val httpAddress: String get() = "${settings.listen.http.substringBeforeLast(':')}:${server.port}"
+
+    /** Address between hosts. */
+    val peerAddress: String get() = link.address
+
+    /** The id of the control thread, for measuring its processor time. */
+    val controlThreadId: Long get() = loop.threadId
+
+    internal fun start() {
+        peers = PeerAdapter(this, clock)
+        link.start(peers)
+        server = startHttpServer(settings.listen.http, group, settings.limits.maxBodyBytes, HostRoutes(this)::handle)
+        val self = Member(
+            holder.host,
+            holder.incarnation,
+            version = 0,
+            MemberStatus.ALIVE,
+            peer = link.address,
+            http = httpAddress,
+            dataCentre = settings.host.dataCentre,
+        )
+        membership = Membership(self, settings.timing.probeIntervalMs, random)
+        membership.setSeeds(settings.platform.peers)
+        view = HostView(self, listOf(self), ConfigurationState(), -1, ready = false, leaving = false, isolated = false)
+        val chooser: TargetChooser =
+            if (isNaive) randomTargetChooser(random) else defaultTargetChooser(holder.host, random)
+        coordinator = RequestCoordinator(serving, chooser, policy, membership::isLive)
+        traffic = TrafficAdapter(loop, clock, coordinator, runner, settings.limits.maxAnswerBytes, peers)
+        claims = ClaimAdapter(loop, clock, log, ledger, traffic::handle)
+        configuration = ConfigurationAdapter(this, clock, log)
+        targets = TargetAdapter(this, clock, log)
+        loop.every(TICK_MS, ::tick)
+        logger.info("host {} serves at {} and peers at {}", holder.host, httpAddress, link.address)
+    }
+
+    /** Ends after a planned stop: nothing that runs is cut. */
+    fun stop() {
+        logger.info("host {} leaves", holder.host)
+        onLoop {
+            leaving = true
+            membership.updateSelf(spread = true) { it.copy(leaving = true, ready = false) }
+            publish()
+        }
+        Thread.sleep(settings.timing.addressLifetimeMs)
+        awaitDrained()
+        onLoop { membership.updateSelf(spread = true) { it.copy(status = MemberStatus.LEFT) } }
+        Thread.sleep(settings.timing.probeIntervalMs * 2)
+        awaitDrained()
+        server.closeAfterWrites(CLOSE_PATIENCE_MS)
+        close()
+        logger.info("host {} stopped", holder.host)
+    }
+
+    /** Ends at once, as a process does that is killed. */
+    fun kill() {
+        server.close()
+        close()
+    }
+
+    /** Returns the state of every slice. */
+    fun dump(): StateDump = onLoop(::dumpNow)
+
+    /** Returns the state of every slice; on the control thread. */
+    internal fun dumpNow(): StateDump = dumpOf(this, clock.nowMs())
+
+    internal fun <T> onLoop(task: () -> T): T {
+        val future = CompletableFuture<T>()
+        loop.post {
+            try {
+                future.complete(task())
+            } catch (e: Exception) {
+                future.completeExceptionally(e)
+            }
+        }
+        return future.get()
+    }
+
+    /** Takes a new configuration into force; on the control thread. */
+    internal fun onConfiguration(state: ConfigurationState) {
+        val catalogue = catalogueOf(state)
+        serving.catalogue = catalogue
+        serving.targets.apply(catalogue, membership.live().size)
+        orders.apply(catalogue)
+        membership.updateSelf(spread = true) { it.copy(revision = state.revision, ready = keeper.isReady && !leaving) }
+        publish()
+    }
+
+    /** Whether the duty [name] falls to this host. */
+    internal fun hasDuty(name: String): Boolean =
+        membership.live().minByOrNull { rendezvous(name, it.host) }?.host == holder.host
+
+    private fun awaitDrained() {
+        val until = clock.nowMs() + DRAIN_LONGEST_MS
+        while (clock.nowMs() < until && onLoop { coordinator.inProgress + traffic.waitingCallers } > 0) {
+            Thread.sleep(DRAIN_POLL_MS)
+        }
+    }
+
+    private fun close() {
+        loop.close()
+        link.close()
+        group.shutdownGracefully(0, 1_000, java.util.concurrent.TimeUnit.MILLISECONDS).syncUninterruptibly()
+    }
+
+    private fun tick() {
+        val now = clock.nowMs()
+        ticks++
+        traffic.handle(RequestEvent.Tick)
+        membership.onTick(now).forEach(link::sendProbe)
+        if (ticks % VIEW_EVERY_TICKS == 0L) slowTick(now)
+    }
+
+    private fun slowTick(now: Long) {
+        claims.onTick()
+        configuration.onTick()
+        targets.onTick()
+        if (now >= nextEpochMs) {
+            nextEpochMs = now + settings.timing.epochMs
+            ledger.advanceEpoch()
+        }
+        val isReady = keeper.isReady && !leaving
+        val changed = membership.self.epoch != ledger.epoch || membership.self.ready != isReady
+        membership.updateSelf(spread = changed) {
+            it.copy(epoch = ledger.epoch, ready = isReady, inProgress = coordinator.inProgress)
+        }
+        publish()
+    }
+
+    private fun publish() {
+        val members = membership.all()
+        val live = members.filter { it.isLive }
+        val sinceRead = clock.nowMs() - keeper.logReadMs
+        val alone = live.size == 1 && members.size > 1
+        view = HostView(
+            membership.self,
+            members,
+            keeper.state,
+            live.minOf { it.revision },
+            keeper.isReady,
+            leaving,
+            isolated = alone && sinceRead > settings.timing.isolatedRefusalMs,
+        )
+        configuration.onView(view)
+    }
+
+    internal fun newNonce(): String = random.nextLong().toULong().toString(36)
+}
+
+/** Starts an entry host with [settings]. */
+fun startEntryHost(settings: Settings, options: HostOptions = HostOptions()): EntryHost =
+    EntryHost(settings, options).also { it.start() }
--- /dev/null
+++ b/src/main/kotlin/host/HostRoutes.kt
@@ -0,0 +1,173 @@
+/*
+ * The paths that an entry host answers: callers', operators' and those for looking inside.
+ */
+package org.sesamerouter.host
+
+import kotlinx.serialization.SerializationException
+import org.sesamerouter.api.AddressAnswer
+import org.sesamerouter.api.OutcomeAnswer
+import org.sesamerouter.api.OutcomeState
+import org.sesamerouter.api.Refusal
+import org.sesamerouter.api.RefusalKind
+import org.sesamerouter.api.RefusalReason
+import org.sesamerouter.api.RunCall
+import org.sesamerouter.api.WireJson
+import org.sesamerouter.api.isTooDeep
+import org.sesamerouter.ledger.Ticket
+import org.sesamerouter.location.chooseHost
+import org.sesamerouter.membership.PeerOutcome
+import org.sesamerouter.membership.PeerReply
+import org.sesamerouter.membership.PeerRequest
+import org.sesamerouter.pipeline.CallTarget
+import org.sesamerouter.web.HttpCall
+import java.util.concurrent.ThreadLocalRandom
+import java.util.concurrent.atomic.AtomicLong
+
+private const val OK = 200
+private const val NOT_FOUND = 404
+private const val UNAVAILABLE = 503
+private const val OUTCOME_TIMEOUT_MS = 2_000L
+private const val OTHER_HOST_RETRY_MS = 100L
+
+internal class HostRoutes(private val host: EntryHost) {
+    private val requestCount = AtomicLong()
+    private val operators = OperatorRoutes(host)
+    private val metrics = HostMetrics(host)
+
+    /** Answers [call]; on an event loop. */
+    fun handle(call: HttpCall) {
+        val path = call.segments
+        when {
+            call.path == "/metrics" -> call.reply(OK, metrics.scrape(), "text/plain; version=0.0.4")
+
+            call.path == "/live" -> call.reply(OK, "{}")
+
+            call.path == "/ready" -> ready(call)
+
+            call.path == "/v1/dump" -> dump(call)
+
+            call.path == "/v1/address" -> address(call)
+
+            call.path == "/v1/requests" -> request(call)
+
+            path.size == 3 && path[1] == "pipelines" && call.method == "POST" ->
+                run(call, CallTarget.PipelineCall(path[2]))
+
+            path.size == 4 && path[1] == "services" && call.method == "POST" ->
+                run(call, CallTarget.ServiceCall(path[2], path[3]))
+
+            path.size >= 2 && path[1] in setOf("resources", "watch") -> operators.handle(call)
+
+            else -> {
+                val remedy = "there is no ${call.method} ${call.path}; see docs/API.md"
+                refuse(call, Refusal(RefusalKind.NOT_RUN, RefusalReason.UNKNOWN_RESOURCE, remedy))
+            }
+        }
+    }
+
+    private fun ready(call: HttpCall) {
+        val view = host.view
+        val isReady = view.ready && !view.leaving && !view.isolated
+        call.reply(if (isReady) OK else UNAVAILABLE, """{"ready":$isReady,"leaving":${view.leaving}}""")
+    }
+
+    private fun dump(call: HttpCall) = host.loop.post {
+        val dump = host.dumpNow()
+        call.reply(OK, WireJson.encodeToString(StateDump.serializer(), dump))
+    }
+
+    private fun address(call: HttpCall) {
+        val view = host.view
+        val dataCentre = call.query["data_centre"] ?: view.self.dataCentre
+        val chosen = chooseHost(view.members, dataCentre, ThreadLocalRandom.current())
+        if (chosen == null) {
+            val remedy = "no host is ready yet; ask again after retry_after_ms"
+            refuse(call, Refusal(RefusalKind.NOT_RUN, RefusalReason.NOT_READY, remedy, OTHER_HOST_RETRY_MS))
+            return
+        }
+        val nonce = ThreadLocalRandom.current().nextLong().toULong().toString(36)
+        val ticket = Ticket(chosen.host, chosen.incarnation, chosen.epoch, nonce)
+        val lifetime = host.settings.timing.addressLifetimeMs
+        val answer = AddressAnswer(chosen.http, chosen.dataCentre, lifetime, ticket.toString())
+        call.reply(OK, WireJson.encodeToString(AddressAnswer.serializer(), answer))
+    }
+
+    private fun run(call: HttpCall, target: CallTarget) {
+        val request = "${host.settings.host.id}-${host.view.self.incarnation.toString(
+            36,
+        )}-${requestCount.incrementAndGet()}"
+        val parsed = parse(call)
+        if (parsed == null) {
+            val remedy = "send a JSON object with organisation and input, nested at most 64 deep; see docs/API.md"
+            refuse(call, Refusal(RefusalKind.NOT_RUN, RefusalReason.BAD_REQUEST, remedy, request = request))
+            return
+        }
+        if (host.view.isolated) {
+            val remedy = "this host is cut off; ask another host for an address"
+            refuse(call, Refusal(RefusalKind.NOT_RUN, RefusalReason.NOT_READY, remedy, OTHER_HOST_RETRY_MS, request))
+            return
+        }
+        val exchange = host.traffic.submit(
+            request,
+            target,
+            parsed,
+            HttpAnswerSink(call, parsed.stream),
+            forwarded = false,
+        )
+        call.onWritable = exchange::onWritable
+        call.onClosed = {
+            exchange.onWritable()
+            host.traffic.cancel(request)
+        }
+    }
+
+    private fun parse(call: HttpCall): RunCall? {
+        if (isTooDeep(call.body)) return null
+        return try {
+            WireJson.decodeFromString(RunCall.serializer(), call.body)
+        } catch (_: SerializationException) {
+            null
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+    }
+
+    private fun request(call: HttpCall) {
+        val name = call.query["key"] ?: call.query["request"].orEmpty()
+        host.loop.post {
+            when (call.method) {
+                "DELETE" -> {
+                    val found = host.traffic.cancelNamed(name)
+                    call.reply(if (found) OK else NOT_FOUND, """{"cancelled":$found}""")
+                }
+
+                else -> outcome(call, name)
+            }
+        }
+    }
+
+    private fun outcome(call: HttpCall, key: String) {
+        val own = host.ledger.outcome(key)
+        val holder = host.ledger.holderOf(key)
+        when {
+            own != null -> replyOutcome(call, own)
+
+            holder != null && host.membership.isLive(holder) && holder != host.membership.self.holder -> {
+                val peer = checkNotNull(host.membership.member(holder.host)).peer
+                host.link.request(peer, PeerRequest.Outcome(key), OUTCOME_TIMEOUT_MS) { answered ->
+                    val reply = (answered as? PeerOutcome.Replied)?.reply as? PeerReply.Outcome
+                    val known = reply?.outcome?.let { WireJson.decodeFromString(OutcomeAnswer.serializer(), it) }
+                    replyOutcome(call, known ?: OutcomeAnswer(key, OutcomeState.UNKNOWN))
+                }
+            }
+
+            else -> replyOutcome(call, OutcomeAnswer(key, OutcomeState.UNKNOWN))
+        }
+    }
+
+    private fun replyOutcome(call: HttpCall, outcome: OutcomeAnswer) =
+        call.reply(OK, WireJson.encodeToString(OutcomeAnswer.serializer(), outcome))
+
+    private fun refuse(call: HttpCall, refusal: Refusal) =
+        call.reply(refusal.reason.status, WireJson.encodeToString(Refusal.serializer(), refusal))
+}
--- /dev/null
+++ b/src/main/kotlin/host/OperatorRoutes.kt
@@ -0,0 +1,175 @@
+/*
+ * The resource interface of operators: get, list, put with generation check, delete and watch.
+ */
+package org.sesamerouter.host
+
+import com.github.michaelbull.result.getError
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonObject
+import org.sesamerouter.api.WireJson
+import org.sesamerouter.api.isTooDeep
+import org.sesamerouter.configuration.ChangeAnswer
+import org.sesamerouter.configuration.ConfigurationRecord
+import org.sesamerouter.configuration.ResourceKey
+import org.sesamerouter.configuration.ResourceKind
+import org.sesamerouter.configuration.readSpec
+import org.sesamerouter.web.HttpCall
+
+private const val OK = 200
+private const val ACCEPTED_UNDECIDED = 202
+private const val NOT_FOUND = 404
+private const val CONFLICT = 409
+private const val INVALID = 422
+private const val UNAVAILABLE = 503
+private const val MAX_PENDING_EVENTS_BYTES_HINT = "the watch was too slow; watch again from its last revision"
+
+/** Body of a put; without [generation] the change is made from whatever this host has in force. */
+@Serializable
+data class PutBody(val spec: JsonObject, val generation: Long? = null, val author: String = "")
+
+/** Why an operator's call was refused, with the remedy for each fault. */
+@Serializable
+data class OperatorRefusal(val reason: String, val faults: List<String> = emptyList(), val remedy: String = "")
+
+/** The answer to an accepted change. */
+@Serializable
+data class ChangeAccepted(val generation: Long, val revision: Long)
+
+internal class OperatorRoutes(private val host: EntryHost) {
+    fun handle(call: HttpCall) {
+        val path = call.segments
+        val kind = path.getOrNull(2)?.let { ResourceKind.of(it) }
+        when {
+            path[1] == "watch" -> watch(call)
+            path.size > 2 && kind == null -> refuse(call, NOT_FOUND, "unknown kind ${path[2]}", KINDS)
+            path.size <= 2 || kind == null -> list(call, null)
+            path.size == 3 && call.method == "GET" -> list(call, kind)
+            path.size == 4 -> one(call, ResourceKey(kind, path[3]))
+            else -> refuse(call, NOT_FOUND, "there is no ${call.method} ${call.path}", "see docs/API.md")
+        }
+    }
+
+    private fun one(call: HttpCall, key: ResourceKey) {
+        when (call.method) {
+            "GET" -> get(call, key)
+
+            "PUT" -> put(call, key)
+
+            "DELETE" -> change(
+                call,
+                key,
+                null,
+                call.query["generation"]?.toLongOrNull(),
+                call.query["author"].orEmpty(),
+            )
+
+            else -> refuse(call, NOT_FOUND, "there is no ${call.method} here", "use GET, PUT or DELETE")
+        }
+    }
+
+    private fun get(call: HttpCall, key: ResourceKey) {
+        val view = host.view
+        val resource = view.configuration.resources[key]
+        if (resource == null) {
+            refuse(call, NOT_FOUND, "there is no ${key.kind.label} ${key.name}", "apply it, or correct the name")
+        } else {
+            call.reply(OK, WireJson.encodeToString(ResourceAnswer.serializer(), answerOf(resource, view)))
+        }
+    }
+
+    private fun list(call: HttpCall, kind: ResourceKind?) {
+        val view = host.view
+        val items = view.configuration.resources.values
+            .filter { kind == null || it.kind == kind }
+            .sortedWith(compareBy({ it.kind }, { it.name }))
+            .map { answerOf(it, view) }
+        val list = ResourceList(view.configuration.revision, items)
+        call.reply(OK, WireJson.encodeToString(ResourceList.serializer(), list))
+    }
+
+    private fun put(call: HttpCall, key: ResourceKey) {
+        val body = try {
+            if (isTooDeep(call.body)) null else WireJson.decodeFromString(PutBody.serializer(), call.body)
+        } catch (_: SerializationException) {
+            null
+        }
+        if (body == null) {
+            refuse(call, INVALID, "the body is no change", "send {\"spec\":{…},\"generation\":N}; see docs/API.md")
+            return
+        }
+        val faults = readSpec(key.kind, key.name, body.spec).getError()
+        if (faults == null) {
+            change(call, key, body.spec, body.generation, body.author)
+            return
+        }
+        val refusal = OperatorRefusal("the spec is not valid", faults.map { it.toString() }, "correct each fault")
+        call.reply(INVALID, WireJson.encodeToString(OperatorRefusal.serializer(), refusal))
+    }
+
+    private fun change(call: HttpCall, key: ResourceKey, spec: JsonObject?, base: Long?, author: String) {
+        host.loop.post {
+            if (!host.keeper.isReady) {
+                refuse(
+                    call,
+                    UNAVAILABLE,
+                    "this host does not know the configuration yet",
+                    "send the change again later",
+                )
+                return@post
+            }
+            val id = host.configuration.newChangeId()
+            val change = ConfigurationRecord.Change(id, author, key.kind, key.name, base, spec)
+            host.configuration.change(change) { answer -> replyChange(call, answer) }
+        }
+    }
+
+    private fun replyChange(call: HttpCall, answer: ChangeAnswer) = when (answer) {
+        is ChangeAnswer.Accepted -> {
+            val accepted = ChangeAccepted(answer.outcome.generation, answer.outcome.revision)
+            call.reply(OK, WireJson.encodeToString(ChangeAccepted.serializer(), accepted))
+        }
+
+        is ChangeAnswer.Refused -> refuse(call, CONFLICT, answer.outcome.refusal.orEmpty(), "get it and apply again")
+
+        is ChangeAnswer.NotAppended -> refuse(call, UNAVAILABLE, answer.cause, "nothing changed; apply again later")
+
+        is ChangeAnswer.Undecided ->
+            refuse(call, ACCEPTED_UNDECIDED, "the log did not say whether it took ${answer.id}", "watch the resource")
+    }
+
+    private fun watch(call: HttpCall) {
+        val kind = call.query["kind"]?.let { ResourceKind.of(it) }
+        val from = call.query["from"]?.toLongOrNull() ?: -1
+        val open = java.util.concurrent.atomic.AtomicBoolean(true)
+        call.onClosed = { open.set(false) }
+        call.startStream("application/x-ndjson")
+        val listener = WatchListener { events ->
+            if (open.get()) writeEvents(call, events.filter { kind.wants(it) }, open)
+            open.get()
+        }
+        host.loop.post { host.configuration.watch(from, listener) }
+    }
+
+    /** A watch that reads too slowly is ended, so that its events are never kept without bound. */
+    private fun writeEvents(call: HttpCall, events: List<WatchEvent>, open: java.util.concurrent.atomic.AtomicBoolean) {
+        for (event in events) {
+            if (!call.isWritable) {
+                call.write("""{"reason":"$MAX_PENDING_EVENTS_BYTES_HINT"}""" + "\n")
+                call.endStream()
+                open.set(false)
+                return
+            }
+            call.write(WireJson.encodeToString(WatchEvent.serializer(), event) + "\n")
+        }
+    }
+
+    private fun refuse(call: HttpCall, status: Int, reason: String, remedy: String) {
+        val refusal = OperatorRefusal(reason, remedy = remedy)
+        call.reply(status, WireJson.encodeToString(OperatorRefusal.serializer(), refusal))
+    }
+
+    private companion object {
+        const val KINDS = "use Pipeline, Pool, Organisation, PriorityClass or Model"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/host/TargetAdapter.kt
@@ -0,0 +1,130 @@
+/*
+ * Polls targets for their load, the platform for its host list, and carries out orders to engines. The time between
+ * polls grows with the number of targets, so that the bytes a second stay bounded. On the control thread.
+ */
+package org.sesamerouter.host
+
+import kotlinx.serialization.SerializationException
+import org.sesamerouter.api.WireJson
+import org.sesamerouter.clock.Clock
+import org.sesamerouter.log.LogStream
+import org.sesamerouter.log.PlatformLog
+import org.sesamerouter.log.ReadOutcome
+import org.sesamerouter.membership.HOST_LIST_PATH
+import org.sesamerouter.membership.ListedHosts
+import org.sesamerouter.orders.LeaseRecord
+import org.sesamerouter.orders.OrderEffect
+import org.sesamerouter.routing.TargetKey
+import org.sesamerouter.routing.rendezvous
+import org.sesamerouter.target.EngineOrder
+import org.sesamerouter.target.TargetPaths
+import org.sesamerouter.web.ClientRequest
+import org.sesamerouter.web.FetchOutcome
+
+private const val LIST_TIMEOUT_MS = 1_000L
+private const val ORDER_TIMEOUT_MS = 1_000L
+private const val LONG_POLL_MS = 1_000L
+private const val READ_RETRY_MS = 200L
+private const val POLLED_TARGETS = 24
+private const val POLL_BYTES = 500
+private const val POLL_BYTES_PER_SECOND = 2_048
+
+internal class TargetAdapter(private val host: EntryHost, private val clock: Clock, private val log: PlatformLog) {
+    private val timing = host.settings.timing
+    private var nextPollMs = 0L
+    private var nextListMs = 0L
+    private var nextLeaseReadMs = 0L
+    private var readingLeases = false
+
+    /** Lets time go on. */
+    fun onTick() {
+        val now = clock.nowMs()
+        if (now >= nextPollMs) pollLoads(now)
+        if (now >= nextListMs && host.settings.platform.hostList.isNotEmpty()) pollHostList(now)
+        if (!readingLeases && now >= nextLeaseReadMs) readLeases()
+        val live = host.membership.live().map { it.host }
+        host.orders.onTick(live, now).forEach(::carryOut)
+    }
+
+    private fun pollLoads(now: Long) {
+        val self = host.settings.host.id
+        val byAddress = host.serving.targets.all().flatMap { it.targets }.groupBy({ it.address }, { it.key })
+        val polled = byAddress.entries.sortedBy { rendezvous(self, it.key) }.take(POLLED_TARGETS * poolCount())
+        val budgetMs = polled.size * POLL_BYTES * 1_000L / POLL_BYTES_PER_SECOND
+        nextPollMs =
+            now + if (polled.size <= POLLED_TARGETS * 2) timing.loadPollMs else maxOf(timing.loadPollMs, budgetMs)
+        polled.forEach { (address, keys) -> poll(address, keys) }
+    }
+
+    private fun poolCount() = maxOf(1, host.serving.targets.all().size)
+
+    private fun poll(address: String, keys: List<TargetKey>) {
+        host.runner.load(address) { report ->
+            if (report == null) return@load
+            host.loop.post {
+                val now = clock.nowMs()
+                keys.forEach { host.serving.targets.onReport(it, report, now) }
+                host.orders.onReport(address, report)
+            }
+        }
+    }
+
+    private fun pollHostList(now: Long) {
+        nextListMs = now + timing.hostListPollMs
+        val request = ClientRequest("GET", HOST_LIST_PATH)
+        host.client.fetch(host.settings.platform.hostList, request, LIST_TIMEOUT_MS) { outcome ->
+            val body = (outcome as? FetchOutcome.Replied)?.reply?.body ?: return@fetch
+            val list = try {
+                WireJson.decodeFromString(ListedHosts.serializer(), body)
+            } catch (_: SerializationException) {
+                return@fetch
+            }
+            host.loop.post { takeHostList(list) }
+        }
+    }
+
+    private fun takeHostList(list: ListedHosts) {
+        val leaving = list.hosts.filter { !it.entry && it.leaving }.map { it.address }.toSet()
+        host.serving.targets.applyHostList(leaving)
+        val entries = list.hosts.filter { it.entry }.map { it.address }
+        host.membership.setSeeds((host.settings.platform.peers + entries).distinct())
+    }
+
+    private fun readLeases() {
+        readingLeases = true
+        log.read(LogStream.LEASES, host.orders.leasesRevision + 1, LONG_POLL_MS) { outcome ->
+            host.loop.post {
+                readingLeases = false
+                val now = clock.nowMs()
+                when (outcome) {
+                    is ReadOutcome.Unavailable -> nextLeaseReadMs = now + READ_RETRY_MS
+
+                    is ReadOutcome.Records ->
+                        outcome.records.forEach { host.orders.onLeaseRecord(it.offset, it.payload, now) }
+                }
+            }
+        }
+    }
+
+    private fun carryOut(effect: OrderEffect) {
+        when (effect) {
+            is OrderEffect.AppendLease -> {
+                val payload = WireJson.encodeToString(LeaseRecord.serializer(), effect.record)
+                log.append(LogStream.LEASES, listOf(payload)) { outcome ->
+                    host.loop.post { host.orders.onAppended(effect.record, outcome) }
+                }
+            }
+
+            is OrderEffect.Send -> send(effect)
+        }
+    }
+
+    private fun send(effect: OrderEffect.Send) {
+        if (clock.nowMs() >= effect.notAfterMs) return
+        val body = WireJson.encodeToString(EngineOrder.serializer(), effect.order)
+        val request = ClientRequest("POST", TargetPaths.ORDERS, body)
+        host.client.fetch(effect.address, request, ORDER_TIMEOUT_MS) {
+            host.loop.post { host.orders.onOrderAnswered(effect.engine, clock.nowMs()) }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/pipeline/RequestCoordinator.kt
@@ -0,0 +1,686 @@
+/*
+ * Decides what happens to every request of this host: admission, queueing, the choice of targets, retries, hedges,
+ * resumption and the final answer. It does no I/O: events come in with the time, effects go out. Runs on the control
+ * thread only.
+ */
+package org.sesamerouter.pipeline
+
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import org.sesamerouter.admission.AdmissionGate
+import org.sesamerouter.admission.FairQueue
+import org.sesamerouter.admission.GateDecision
+import org.sesamerouter.admission.GateRequest
+import org.sesamerouter.admission.QueueEntry
+import org.sesamerouter.admission.StageQuantiles
+import org.sesamerouter.admission.StageTimes
+import org.sesamerouter.admission.StageWork
+import org.sesamerouter.api.Refusal
+import org.sesamerouter.api.RefusalReason
+import org.sesamerouter.api.RunAnswer
+import org.sesamerouter.configuration.Catalogue
+import org.sesamerouter.configuration.StageKind
+import org.sesamerouter.cost.CostMeter
+import org.sesamerouter.cost.Spending
+import org.sesamerouter.ledger.Holder
+import org.sesamerouter.ledger.Ledger
+import org.sesamerouter.ledger.LedgerDecision
+import org.sesamerouter.ledger.ticketOf
+import org.sesamerouter.quarantine.DeathNotice
+import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.quarantine.Standing
+import org.sesamerouter.quarantine.fingerprintOf
+import org.sesamerouter.routing.ChoiceRequest
+import org.sesamerouter.routing.PoolState
+import org.sesamerouter.routing.TargetChooser
+import org.sesamerouter.routing.TargetKey
+import org.sesamerouter.routing.TargetState
+import org.sesamerouter.routing.TargetTable
+import org.sesamerouter.target.LoadReport
+import org.sesamerouter.target.TargetRun
+
+private const val PREFIX_CHARS = 64
+private const val PROBE_PATIENCE_MS = 500L
+private const val MIN_HEDGE_MS = 20L
+private const val DEFAULT_TOKENS = 64
+
+/** Counts of what the coordinator decided since the host started. */
+data class CoordinatorCounts(
+    val arrived: Long = 0,
+    val answered: Long = 0,
+    val refused: Long = 0,
+    val retries: Long = 0,
+    val hedges: Long = 0,
+    val resumes: Long = 0,
+    val deaths: Long = 0,
+)
+
+/** The state that the coordinator shares with the other slices of the control thread. */
+class ServingState(
+    val ledger: Ledger,
+    val targets: TargetTable = TargetTable(),
+    val quarantine: Quarantine = Quarantine(),
+    val gate: AdmissionGate = AdmissionGate(),
+    val times: StageTimes = StageTimes(),
+    val cost: CostMeter = CostMeter(),
+) {
+    /** The catalogue in force, null until the first one is known. */
+    var catalogue: Catalogue? = null
+}
+
+/** The decisions of one host. [isLive] tells whether an incarnation of a host is a live member. */
+class RequestCoordinator(
+    private val state: ServingState,
+    private val chooser: TargetChooser,
+    private val policy: ServingPolicy = ServingPolicy(),
+    private val isLive: (Holder) -> Boolean = { false },
+) {
+    private val requests = LinkedHashMap<String, RequestState>()
+    private val queues = HashMap<String, PoolQueues>()
+    private val retryBudget = Budget(policy.retryShare, burst = 20.0)
+    private val hedgeBudget = Budget(policy.hedgeShare, burst = 10.0)
+    private val probes = HashMap<TargetKey, ArrayList<CutAttempt>>()
+    private val effects = ArrayList<RequestEffect>()
+    private var sequence = 0L
+
+    /** What was decided so far. */
+    var counts = CoordinatorCounts()
+        private set
+
+    /** Requests that have not ended, those included whose caller has its answer. */
+    val inProgress: Int get() = requests.size
+
+    /** Takes in [event] at [now] and returns what is to be done, in order. */
+    fun handle(event: RequestEvent, now: Long): List<RequestEffect> {
+        when (event) {
+            is RequestEvent.Arrived -> onArrived(event, now)
+            is RequestEvent.FirstToken -> onFirstToken(event.attempt, now)
+            is RequestEvent.Succeeded -> onSucceeded(event, now)
+            is RequestEvent.Failed -> onFailed(event, now)
+            is RequestEvent.Probed -> onProbed(event, now)
+            is RequestEvent.ClaimFolded -> onClaimFolded(event, now)
+            is RequestEvent.ClaimFailed -> onClaimFailed(event)
+            is RequestEvent.Cancelled -> onCancelled(event.request, now)
+            RequestEvent.Tick -> onTick(now)
+        }
+        val out = effects.toList()
+        effects.clear()
+        return out
+    }
+
+    /** Returns the queued stages of each pool. */
+    fun queueSizes(): Map<String, Int> = queues.mapValues { it.value.size }
+
+    private fun onArrived(event: RequestEvent.Arrived, now: Long) {
+        counts = counts.copy(arrived = counts.arrived + 1)
+        val catalogue = state.catalogue
+        val plan = catalogue?.let { planOf(it, event.target, event.call) }
+        val organisation = catalogue?.organisations?.get(event.call.organisation)
+        val refusal = when {
+            catalogue == null ->
+                notRun(event.request, RefusalReason.NOT_READY, "this host starts; ask for an address again", 500)
+
+            plan == null ->
+                notRun(event.request, RefusalReason.UNKNOWN_RESOURCE, "declare it, or correct the name in the path")
+
+            organisation == null ->
+                notRun(
+                    event.request,
+                    RefusalReason.UNKNOWN_RESOURCE,
+                    "declare the organisation ${event.call.organisation}",
+                )
+
+            !plan.idempotent && event.call.key.isEmpty() ->
+                notRun(
+                    event.request,
+                    RefusalReason.BAD_REQUEST,
+                    "set key: this operation runs at most once under a key",
+                )
+
+            else -> null
+        }
+        if (refusal != null || plan == null || organisation == null) {
+            refuseArrival(event.request, checkNotNull(refusal))
+            return
+        }
+        val request = newRequest(event, plan, organisation.weight, now)
+        if (plan.idempotent) admit(request, organisation.maxInProgress, now) else beginOnce(request, event, now)
+    }
+
+    private fun newRequest(event: RequestEvent.Arrived, plan: RequestPlan, weight: Int, now: Long): RequestState {
+        val call = event.call
+        val input = call.input.toString()
+        val deadline = now + plan.deadlineMs
+        val work = plan.stages.map { stage ->
+            val times = quantiles(stage, now)
+            StageWork(stage.pool, times.typicalMs, times.highMs)
+        }
+        return RequestState(
+            id = event.request,
+            target = event.target,
+            call = call,
+            plan = plan,
+            gate = GateRequest(call.organisation, weight, plan.rank, deadline, work),
+            fingerprint = fingerprintOf(call.organisation, plan.name, input),
+            prefix = prefixOf(call.input),
+            arrivedMs = now,
+            deadlineMs = deadline,
+        )
+    }
+
+    private fun beginOnce(request: RequestState, event: RequestEvent.Arrived, now: Long) {
+        val key = event.call.key
+        if (isTooOld(request, now)) {
+            refuseArrival(request.id, outcomeUnknown(request.id, RefusalReason.KEY_EXPIRED))
+            return
+        }
+        when (val decision = state.ledger.begin(key, request.fingerprint, isLive)) {
+            LedgerDecision.Run -> admit(request, Int.MAX_VALUE, now)
+
+            is LedgerDecision.Refuse -> refuseArrival(request.id, decision.refusal.copy(request = request.id))
+
+            is LedgerDecision.Replay -> {
+                counts = counts.copy(answered = counts.answered + 1)
+                effects += RequestEffect.Complete(request.id, decision.answer)
+            }
+
+            is LedgerDecision.Forward -> forward(request, event, decision.holder)
+
+            is LedgerDecision.Claim -> {
+                request.phase = Phase.CLAIMING
+                request.claimId = decision.claim.id
+                requests[request.id] = request
+                effects += RequestEffect.AppendClaim(decision.claim)
+            }
+        }
+    }
+
+    private fun isTooOld(request: RequestState, now: Long): Boolean {
+        val sent = request.call.firstSentAtMs
+        return sent > 0 && ticketOf(request.call.key) == null && now - sent > policy.keyLifetimeMs
+    }
+
+    private fun forward(request: RequestState, event: RequestEvent.Arrived, holder: Holder) {
+        if (event.forwarded) {
+            refuseArrival(request.id, outcomeUnknown(request.id, RefusalReason.HOME_HOST_GONE))
+        } else {
+            effects += RequestEffect.Forward(request.id, holder, event.target, event.call)
+        }
+    }
+
+    private fun onClaimFolded(event: RequestEvent.ClaimFolded, now: Long) {
+        val request = requests.values.firstOrNull { it.claimId == event.claimId } ?: return
+        if (request.phase != Phase.CLAIMING) return
+        requests.remove(request.id)
+        when {
+            state.ledger.outcome(request.call.key) != null -> admit(request, Int.MAX_VALUE, now)
+
+            isLive(event.holder) ->
+                effects += RequestEffect.Forward(request.id, event.holder, request.target, request.call)
+
+            else -> refuseArrival(request.id, outcomeUnknown(request.id, RefusalReason.HOME_HOST_GONE))
+        }
+    }
+
+    private fun onClaimFailed(event: RequestEvent.ClaimFailed) {
+        val request = requests.values.firstOrNull { it.claimId == event.claimId } ?: return
+        if (request.phase != Phase.CLAIMING) return
+        state.ledger.notRun(request.call.key)
+        requests.remove(request.id)
+        val remedy = "the platform's log does not answer; use a key that starts with a ticket, or send again later"
+        refuseArrival(request.id, notRun(request.id, RefusalReason.LOG_UNAVAILABLE, remedy, LOG_RETRY_MS))
+    }
+
+    private fun admit(request: RequestState, maxInProgress: Int, now: Long) {
+        val refusal = admissionRefusal(request, maxInProgress, now)
+        if (refusal != null) {
+            request.ledgerKey?.let(state.ledger::notRun)
+            refuseArrival(request.id, refusal)
+            return
+        }
+        retryBudget.earn()
+        hedgeBudget.earn()
+        requests[request.id] = request
+        request.gate.work.forEach { work ->
+            state.gate.commit(request.gate, work)
+            request.committed.addLast(work)
+        }
+        enqueue(request, now)
+        pump(request.stage.pool, now)
+    }
+
+    private fun admissionRefusal(request: RequestState, maxInProgress: Int, now: Long): Refusal? {
+        if (policy.quarantine && state.quarantine.standing(request.fingerprint, now) == Standing.QUARANTINED) {
+            val remedy = "this request crashed $DEATHS targets; change its content"
+            val retryMs = state.quarantine.remainingMs(request.fingerprint, now)
+            return notRun(request.id, RefusalReason.QUARANTINED, remedy, retryMs)
+        }
+        val organisation = request.call.organisation
+        if (maxInProgress != Int.MAX_VALUE &&
+            requests.values.count { it.call.organisation == organisation } >= maxInProgress
+        ) {
+            val remedy = "the organisation has $maxInProgress requests in progress here; send later or raise the limit"
+            return notRun(request.id, RefusalReason.ORGANISATION_LIMIT, remedy, MIN_RETRY_MS)
+        }
+        if (!policy.admission) return null
+        val decision = state.gate.decide(request.gate, now) { state.targets.pool(it)?.slots(now) ?: 0.0 }
+        if (decision !is GateDecision.Refuse) return null
+        val remedy = "the answer would come too late; send again after retry_after_ms or with a longer deadline"
+        return notRun(request.id, RefusalReason.DEADLINE_UNREACHABLE, remedy, decision.retryAfterMs)
+    }
+
+    private fun enqueue(request: RequestState, now: Long) {
+        request.phase = Phase.QUEUED
+        val times = quantiles(request.stage, now)
+        val rest = request.plan.stages.drop(request.stageIndex).sumOf { quantiles(it, now).typicalMs }
+        val entry = if (policy.fairQueue) {
+            val organisation = request.call.organisation
+            QueueEntry(
+                request.id,
+                organisation,
+                request.gate.weight,
+                request.plan.rank,
+                request.deadlineMs - rest,
+                times.typicalMs,
+            )
+        } else {
+            QueueEntry(request.id, "", 1, 0, sequence++, 1)
+        }
+        queuesOf(request.stage.pool).of(isSuspect(request, now)).add(entry)
+    }
+
+    private fun pump(pool: String, now: Long) {
+        val queues = queuesOf(pool)
+        pumpQueue(pool, queues.suspects, now)
+        pumpQueue(pool, queues.normal, now)
+    }
+
+    private fun pumpQueue(pool: String, queue: FairQueue, now: Long) {
+        val targets = state.targets.pool(pool) ?: return
+        while (queue.size > 0 && mayStart(targets, now)) {
+            val entry = queue.poll() ?: return
+            val request = requests[entry.id] ?: continue
+            if (isHopeless(request, now)) {
+                giveUpQueued(request, now)
+                continue
+            }
+            val suspect = isSuspect(request, now)
+            val target = chooser.choose(targets, ChoiceRequest(prefixFor(request), request.tried, suspect), now)
+            if (target == null) {
+                queue.add(entry)
+                return
+            }
+            start(request, target, hedge = false, now)
+        }
+    }
+
+    /** The naive policy leaves all queueing to the targets. */
+    private fun mayStart(pool: PoolState, now: Long): Boolean =
+        !policy.fairQueue || pool.usable(now).any { it.hasRoom() }
+
+    private fun isHopeless(request: RequestState, now: Long): Boolean {
+        if (!policy.admission) return now >= request.deadlineMs
+        return now + quantiles(request.stage, now).typicalMs / 2 > request.deadlineMs
+    }
+
+    private fun giveUpQueued(request: RequestState, now: Long) {
+        val remedy = "no target came free in time; send again after retry_after_ms"
+        val refusal = if (request.dispatched) {
+            failed(request.id, RefusalReason.DEADLINE_PASSED, remedy, MIN_RETRY_MS)
+        } else {
+            notRun(request.id, RefusalReason.DEADLINE_UNREACHABLE, remedy, MIN_RETRY_MS)
+        }
+        finish(request, refusal, now)
+    }
+
+    private fun start(request: RequestState, target: TargetState, hedge: Boolean, now: Long) {
+        val key = request.ledgerKey
+        if (key != null && !state.ledger.dispatch(key)) {
+            finish(request, outcomeUnknown(request.id, RefusalReason.KEY_IN_USE), now)
+            return
+        }
+        request.phase = Phase.RUNNING
+        val id = AttemptId(request.id, ++request.attemptCount)
+        request.attempts += AttemptState(id, target.key, target.address, target.incarnation, now, hedge)
+        request.tried += target.key
+        if (isSuspect(request, now)) target.suspect = request.fingerprint
+        state.targets.onStart(target.key)
+        effects += RequestEffect.StartAttempt(
+            id,
+            target.address,
+            runOf(request, id),
+            request.stageIndex,
+            request.isLastStage,
+            once = key != null,
+        )
+    }
+
+    private fun runOf(request: RequestState, id: AttemptId): TargetRun {
+        val stage = request.stage
+        val generates = stage.kind == StageKind.GENERATE
+        return TargetRun(
+            request = request.id,
+            attempt = id.number,
+            organisation = request.call.organisation,
+            stage = stage.id.stage,
+            rank = request.plan.rank,
+            model = stage.model,
+            operation = stage.operation,
+            maxTokens = if (!generates) 0 else request.call.maxTokens.takeIf { it > 0 } ?: DEFAULT_TOKENS,
+            resumeFrom = request.resumePosition,
+            resumeText = request.resumeText,
+            input = request.call.input,
+            upstream = request.upstream,
+        )
+    }
+
+    private fun onFirstToken(id: AttemptId, now: Long) {
+        val request = requests[id.request] ?: return
+        val attempt = request.attempts.firstOrNull { it.id == id } ?: return
+        attempt.hasToken = true
+        request.attempts.filter { it.id != id }.forEach { cancelAttempt(request, it, Spending.HEDGE_LOST, now) }
+        request.attempts.removeIf { it.id != id }
+    }
+
+    private fun onSucceeded(event: RequestEvent.Succeeded, now: Long) {
+        val request = requests[event.attempt.request] ?: return
+        val attempt = request.attempts.firstOrNull { it.id == event.attempt } ?: return
+        request.attempts.remove(attempt)
+        val ms = now - attempt.startedMs
+        val typical = quantiles(request.stage, now).typicalMs
+        state.times.record(request.stage.id, ms, now)
+        state.targets.onSuccess(attempt.target, ms, typical, now)
+        event.load?.let { state.targets.onReport(attempt.target, it, now) }
+        endAttempt(request, attempt, Spending.ANSWER, event.tokens, now)
+        request.attempts.forEach { cancelAttempt(request, it, Spending.HEDGE_LOST, now) }
+        request.attempts.clear()
+        releaseStage(request)
+        if (request.isLastStage) complete(request, event, now) else nextStage(request, event, now)
+        pump(attempt.target.pool, now)
+    }
+
+    private fun nextStage(request: RequestState, event: RequestEvent.Succeeded, now: Long) {
+        request.upstream = event.output ?: JsonPrimitive(event.text)
+        request.stageIndex++
+        request.resumePosition = 0
+        request.resumeText = ""
+        request.tried.clear()
+        request.hedged = false
+        enqueue(request, now)
+        pump(request.stage.pool, now)
+    }
+
+    private fun complete(request: RequestState, event: RequestEvent.Succeeded, now: Long) {
+        val answer = RunAnswer(request.id, event.output, event.text, event.tokens)
+        state.quarantine.onSuccess(request.fingerprint, now)
+        request.ledgerKey?.let { state.ledger.done(it, answer) }
+        requests.remove(request.id)
+        if (request.answered) return
+        counts = counts.copy(answered = counts.answered + 1)
+        effects += RequestEffect.Complete(request.id, answer)
+    }
+
+    private fun onFailed(event: RequestEvent.Failed, now: Long) {
+        val request = requests[event.attempt.request] ?: return
+        val attempt = request.attempts.firstOrNull { it.id == event.attempt } ?: return
+        request.attempts.remove(attempt)
+        val spending = if (event.failure == AttemptFailure.LOST_RACE) Spending.HEDGE_LOST else Spending.FAILED
+        endAttempt(request, attempt, spending, 0, now)
+        if (event.position > request.resumePosition) {
+            request.resumePosition = event.position
+            request.resumeText = event.text
+        }
+        noteFailure(request, attempt, event.failure, now)
+        if (request.attempts.isEmpty()) afterFailure(request, attempt, event.failure, now)
+        pump(attempt.target.pool, now)
+    }
+
+    private fun noteFailure(request: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Long) {
+        val targets = state.targets
+        when (failure) {
+            AttemptFailure.NEVER_SENT, AttemptFailure.CUT -> targets.onFailure(attempt.target, connection = true, now)
+            AttemptFailure.ERROR -> targets.onFailure(attempt.target, connection = false, now)
+            AttemptFailure.REFUSED -> targets.onRefusal(attempt.target, leaving = false, now)
+            AttemptFailure.REFUSED_LEAVING -> targets.onRefusal(attempt.target, leaving = true, now)
+            AttemptFailure.TOO_LARGE, AttemptFailure.LOST_RACE -> Unit
+        }
+        val unrun = failure == AttemptFailure.NEVER_SENT || failure == AttemptFailure.REFUSED ||
+            failure == AttemptFailure.REFUSED_LEAVING
+        if (unrun) {
+            request.ledgerKey?.let(state.ledger::neverSent)
+            request.unrunAttempts += attempt.id.number
+        }
+        if (failure == AttemptFailure.CUT) {
+            probes.getOrPut(attempt.target) { ArrayList() } += CutAttempt(request.fingerprint, attempt)
+            effects += RequestEffect.Probe(attempt.target, attempt.address)
+        }
+    }
+
+    private fun afterFailure(request: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Long) {
+        when (failure) {
+            AttemptFailure.CUT -> {
+                request.phase = Phase.PROBING
+                request.probing = attempt.target
+                request.probeStartMs = now
+            }
+
+            AttemptFailure.TOO_LARGE -> {
+                val remedy = "the answer is larger than this host keeps; ask for it as a stream"
+                finish(request, failed(request.id, RefusalReason.ANSWER_TOO_LARGE, remedy), now)
+            }
+
+            else -> retry(request, failure, now)
+        }
+    }
+
+    private fun onProbed(event: RequestEvent.Probed, now: Long) {
+        event.report?.let { state.targets.onReport(event.target, it, now) }
+        probes.remove(event.target).orEmpty().forEach { if (it.isDeath(event.report)) countDeath(it, now) }
+        requests.values.filter { it.probing == event.target }.forEach { afterProbe(it, now) }
+    }
+
+    private fun countDeath(cut: CutAttempt, now: Long) {
+        if (!policy.quarantine) return
+        val notice = DeathNotice(cut.fingerprint, cut.attempt.address, cut.attempt.targetIncarnation)
+        if (!state.quarantine.onDeath(notice, now)) return
+        counts = counts.copy(deaths = counts.deaths + 1)
+        effects += RequestEffect.ShareDeath(notice)
+    }
+
+    private fun afterProbe(request: RequestState, now: Long) {
+        request.probing = null
+        retry(request, AttemptFailure.CUT, now)
+    }
+
+    private fun retry(request: RequestState, failure: AttemptFailure, now: Long) {
+        val key = request.ledgerKey
+        val standing = state.quarantine.standing(request.fingerprint, now)
+        val sent = failure == AttemptFailure.CUT || failure == AttemptFailure.ERROR
+        when {
+            request.callerGone -> finish(request, null, now)
+
+            key != null && sent -> finish(request, outcomeUnknown(request.id, RefusalReason.TARGET_FAILED), now)
+
+            policy.quarantine && standing == Standing.QUARANTINED ->
+                finish(request, failed(request.id, RefusalReason.QUARANTINED, QUARANTINE_REMEDY), now)
+
+            isHopeless(request, now) -> giveUpQueued(request, now)
+
+            request.retries >= policy.maxRetries || !retryBudget.trySpend() -> giveUpRetries(request, failure, now)
+
+            else -> retryNow(request, now)
+        }
+    }
+
+    private fun retryNow(request: RequestState, now: Long) {
+        request.retries++
+        counts = counts.copy(
+            retries = counts.retries + 1,
+            resumes = counts.resumes + if (request.resumePosition > 0) 1 else 0,
+        )
+        enqueue(request, now)
+        pump(request.stage.pool, now)
+    }
+
+    private fun giveUpRetries(request: RequestState, failure: AttemptFailure, now: Long) {
+        val remedy = "the targets of ${request.stage.pool} fail; send again after retry_after_ms"
+        val refusal = if (request.dispatched) {
+            failed(request.id, RefusalReason.TARGET_FAILED, remedy, NO_TARGET_RETRY_MS)
+        } else {
+            val refused = failure == AttemptFailure.REFUSED || failure == AttemptFailure.REFUSED_LEAVING
+            val reason = if (refused) RefusalReason.TARGET_REFUSED else RefusalReason.NO_TARGET
+            notRun(request.id, reason, remedy, NO_TARGET_RETRY_MS)
+        }
+        finish(request, refusal, now)
+    }
+
+    private fun onCancelled(id: String, now: Long) {
+        val request = requests[id] ?: return
+        request.callerGone = true
+        val guarded = request.ledgerKey != null && request.dispatched
+        if (guarded) {
+            request.answered = true
+            return
+        }
+        finish(request, if (request.dispatched) cancelledRunning(id) else cancelledQueued(id), now)
+    }
+
+    private fun onTick(now: Long) {
+        for (request in requests.values.toList()) {
+            if (request.phase == Phase.PROBING) expireProbe(request, now)
+            if (now >= request.deadlineMs) onDeadline(request, now) else maybeHedge(request, now)
+        }
+        queues.keys.toList().forEach { pump(it, now) }
+    }
+
+    private fun expireProbe(request: RequestState, now: Long) {
+        val target = request.probing ?: return
+        if (now - request.probeStartMs > PROBE_PATIENCE_MS) onProbed(RequestEvent.Probed(target, "", null), now)
+    }
+
+    private fun onDeadline(request: RequestState, now: Long) {
+        if (request.answered) return
+        val key = request.ledgerKey
+        when {
+            request.phase == Phase.CLAIMING -> request.claimId?.let { onClaimFailed(RequestEvent.ClaimFailed(it)) }
+
+            key != null && request.dispatched -> {
+                request.answered = true
+                counts = counts.copy(refused = counts.refused + 1)
+                effects += RequestEffect.Refuse(request.id, stillRunning(request.id, NO_TARGET_RETRY_MS))
+            }
+
+            request.dispatched -> {
+                request.attempts.forEach {
+                    state.targets.onSlow(it.target, now - it.startedMs, quantiles(request.stage, now).typicalMs, now)
+                }
+                val remedy = "the deadline passed while it ran; send again with a longer deadline"
+                finish(request, failed(request.id, RefusalReason.DEADLINE_PASSED, remedy, MIN_RETRY_MS), now)
+            }
+
+            else -> giveUpQueued(request, now)
+        }
+    }
+
+    private fun maybeHedge(request: RequestState, now: Long) {
+        if (request.phase != Phase.RUNNING || request.hedged || request.ledgerKey != null) return
+        val first = request.attempts.singleOrNull() ?: return
+        val times = quantiles(request.stage, now)
+        val age = now - first.startedMs
+        if (first.hasToken || age < maxOf(MIN_HEDGE_MS, times.hedgeMs)) return
+        val pool = state.targets.pool(request.stage.pool) ?: return
+        if (queuesOf(pool.name).size > 0 || isSuspect(request, now)) return
+        val target = chooser.choose(pool, ChoiceRequest(null, request.tried, suspect = false), now) ?: return
+        if (target.key == first.target || !hedgeBudget.trySpend()) return
+        request.hedged = true
+        counts = counts.copy(hedges = counts.hedges + 1)
+        start(request, target, hedge = true, now)
+    }
+
+    private fun cancelAttempt(request: RequestState, attempt: AttemptState, spending: Spending, now: Long) {
+        state.targets.onSlow(attempt.target, now - attempt.startedMs, quantiles(request.stage, now).typicalMs, now)
+        endAttempt(request, attempt, spending, 0, now)
+        effects += RequestEffect.CancelAttempt(attempt.id)
+    }
+
+    private fun endAttempt(request: RequestState, attempt: AttemptState, spending: Spending, tokens: Int, now: Long) {
+        state.targets.onEnd(attempt.target, request.fingerprint)
+        state.cost.charge(request.stage.id, spending, now - attempt.startedMs, tokens)
+    }
+
+    private fun releaseStage(request: RequestState) {
+        request.committed.removeFirstOrNull()?.let { state.gate.release(request.gate, it) }
+    }
+
+    /** Ends [request] for good: cancels what runs, frees what it holds and gives the caller [refusal]. */
+    private fun finish(request: RequestState, refusal: Refusal?, now: Long) {
+        requests.remove(request.id)
+        queues[request.stage.pool]?.remove(request.id)
+        request.attempts.forEach { attempt ->
+            endAttempt(request, attempt, Spending.ABANDONED, 0, now)
+            effects += RequestEffect.CancelAttempt(attempt.id)
+        }
+        request.attempts.clear()
+        while (request.committed.isNotEmpty()) releaseStage(request)
+        val key = request.ledgerKey
+        if (key != null && refusal != null) {
+            if (request.dispatched) state.ledger.failed(key, refusal) else state.ledger.notRun(key)
+        }
+        if (request.answered || refusal == null) return
+        counts = counts.copy(refused = counts.refused + 1)
+        effects += RequestEffect.Refuse(request.id, refusal)
+    }
+
+    private fun refuseArrival(request: String, refusal: Refusal) {
+        counts = counts.copy(refused = counts.refused + 1)
+        effects += RequestEffect.Refuse(request, refusal)
+    }
+
+    private fun isSuspect(request: RequestState, now: Long): Boolean =
+        policy.quarantine && state.quarantine.standing(request.fingerprint, now) != Standing.CLEAR
+
+    private fun prefixFor(request: RequestState): Long? =
+        if (request.stage.kind == StageKind.GENERATE) request.prefix else null
+
+    private fun quantiles(stage: PlanStage, now: Long): StageQuantiles =
+        state.times.quantiles(stage.id, stage.expectedMs, now)
+
+    private fun queuesOf(pool: String): PoolQueues = queues.getOrPut(pool) { PoolQueues() }
+
+    private companion object {
+        const val MIN_RETRY_MS = 100L
+        const val DEATHS = org.sesamerouter.quarantine.DEATHS_TO_QUARANTINE
+        const val QUARANTINE_REMEDY = "every target that ran this request died; change its content before sending it"
+    }
+}
+
+/** An attempt whose connection was cut: a probe tells whether its target died. */
+private class CutAttempt(val fingerprint: String, val attempt: AttemptState) {
+    fun isDeath(report: LoadReport?): Boolean {
+        val before = attempt.targetIncarnation
+        return report == null || (before.isNotEmpty() && report.incarnation != before)
+    }
+}
+
+private class PoolQueues {
+    val normal = FairQueue()
+    val suspects = FairQueue()
+    val size: Int get() = normal.size + suspects.size
+
+    fun of(suspect: Boolean): FairQueue = if (suspect) suspects else normal
+
+    fun remove(id: String) {
+        normal.remove(id)
+        suspects.remove(id)
+    }
+}
+
+private fun prefixOf(input: JsonElement): Long? {
+    val text = input.toString()
+    if (text.length < PREFIX_CHARS) return null
+    return net.openhft.hashing.LongHashFunction.xx3().hashChars(text.substring(0, PREFIX_CHARS))
+}
+
+private fun cancelledQueued(id: String) = notRun(id, RefusalReason.CANCELLED, "the request was cancelled before it ran")
+
+private fun cancelledRunning(id: String) = failed(id, RefusalReason.CANCELLED, "the request was cancelled while it ran")
--- /dev/null
+++ b/src/main/kotlin/settings/Settings.kt
@@ -0,0 +1,127 @@
+/*
+ * The settings of one entry host, read once at start from TOML. Everything else is declared through resources.
+ */
+package org.sesamerouter.settings
+
+import com.akuleshov7.ktoml.Toml
+import com.akuleshov7.ktoml.exceptions.TomlDecodingException
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import org.sesamerouter.configuration.SpecFault
+import org.sesamerouter.configuration.addressFault
+import org.sesamerouter.configuration.rangeFault
+
+/** Settings of one entry host. Addresses are IP:PORT; port 0 lets the system choose. */
+@Serializable
+data class Settings(
+    val host: HostSettings,
+    val listen: ListenSettings = ListenSettings(),
+    val platform: PlatformSettings,
+    val limits: LimitSettings = LimitSettings(),
+    val timing: TimingSettings = TimingSettings(),
+    val logs: LogSettings = LogSettings(),
+)
+
+/** Who this host is. */
+@Serializable
+data class HostSettings(val id: String, @SerialName("data_centre") val dataCentre: String)
+
+/** Where this host listens. */
+@Serializable
+data class ListenSettings(
+    val http: String = "127.0.0.1:0",
+    val peer: String = "127.0.0.1:0",
+    @SerialName("traffic_threads") val trafficThreads: Int = 2,
+)
+
+/** Where the platform's services are. */
+@Serializable
+data class PlatformSettings(
+    val log: String,
+    @SerialName("host_list") val hostList: String = "",
+    val peers: List<String> = emptyList(),
+)
+
+/** Bounds on what this host keeps and reads. */
+@Serializable
+data class LimitSettings(
+    @SerialName("max_body_bytes") val maxBodyBytes: Int = 1_048_576,
+    @SerialName("max_answer_bytes") val maxAnswerBytes: Int = 8_388_608,
+    @SerialName("max_keys") val maxKeys: Int = 200_000,
+    @SerialName("max_suspects") val maxSuspects: Int = 4_096,
+)
+
+/** Periods and timeouts in milliseconds. */
+@Serializable
+data class TimingSettings(
+    @SerialName("address_lifetime_ms") val addressLifetimeMs: Long = 10_000,
+    @SerialName("probe_interval_ms") val probeIntervalMs: Long = 1_000,
+    @SerialName("load_poll_ms") val loadPollMs: Long = 1_000,
+    @SerialName("host_list_poll_ms") val hostListPollMs: Long = 1_000,
+    @SerialName("epoch_ms") val epochMs: Long = 300_000,
+    @SerialName("snapshot_interval_ms") val snapshotIntervalMs: Long = 600_000,
+    @SerialName("isolated_refusal_ms") val isolatedRefusalMs: Long = 9_000,
+    @SerialName("quarantine_ms") val quarantineMs: Long = 600_000,
+    @SerialName("key_lifetime_ms") val keyLifetimeMs: Long = 3_600_000,
+    @SerialName("lease_ms") val leaseMs: Long = 15_000,
+)
+
+/** How logs are written. */
+@Serializable
+data class LogSettings(val format: String = "text", val level: String = "info")
+
+/** Reads settings from [toml], or returns all faults that can be told at once. */
+fun readSettings(toml: String): Result<Settings, List<SpecFault>> {
+    val settings = try {
+        Toml.decodeFromString(Settings.serializer(), toml)
+    } catch (e: TomlDecodingException) {
+        return Err(listOf(parseFault(e)))
+    } catch (e: SerializationException) {
+        return Err(listOf(parseFault(e)))
+    }
+    val faults = settings.faults()
+    return if (faults.isEmpty()) Ok(settings) else Err(faults)
+}
+
+private fun parseFault(e: Exception) =
+    SpecFault("settings", e.message.orEmpty().lineSequence().first(), "correct the key, see docs/SETTINGS.md")
+
+private fun Settings.faults(): List<SpecFault> = listOfNotNull(
+    nameFault("host.id", host.id),
+    nameFault("host.data_centre", host.dataCentre),
+    addressFault("listen.http", listen.http),
+    addressFault("listen.peer", listen.peer),
+    rangeFault("listen.traffic_threads", listen.trafficThreads.toLong(), 1L..64L),
+    addressFault("platform.log", platform.log),
+    platform.hostList.takeIf { it.isNotEmpty() }?.let { addressFault("platform.host_list", it) },
+    rangeFault("limits.max_body_bytes", limits.maxBodyBytes.toLong(), 1_024L..67_108_864L),
+    rangeFault("limits.max_answer_bytes", limits.maxAnswerBytes.toLong(), 1_024L..268_435_456L),
+    rangeFault("limits.max_keys", limits.maxKeys.toLong(), 1L..10_000_000L),
+    rangeFault("limits.max_suspects", limits.maxSuspects.toLong(), 1L..1_000_000L),
+    rangeFault("timing.address_lifetime_ms", timing.addressLifetimeMs, 0L..600_000L),
+    rangeFault("timing.probe_interval_ms", timing.probeIntervalMs, 20L..60_000L),
+    rangeFault("timing.load_poll_ms", timing.loadPollMs, 20L..60_000L),
+    rangeFault("timing.host_list_poll_ms", timing.hostListPollMs, 20L..60_000L),
+    rangeFault("timing.epoch_ms", timing.epochMs, 1_000L..86_400_000L),
+    rangeFault("timing.snapshot_interval_ms", timing.snapshotIntervalMs, 1_000L..86_400_000L),
+    rangeFault("timing.isolated_refusal_ms", timing.isolatedRefusalMs, 1_000L..3_600_000L),
+    rangeFault("timing.quarantine_ms", timing.quarantineMs, 1_000L..86_400_000L),
+    rangeFault("timing.key_lifetime_ms", timing.keyLifetimeMs, 1_000L..86_400_000L),
+    rangeFault("timing.lease_ms", timing.leaseMs, 1_000L..600_000L),
+    choiceFault("logs.format", logs.format, listOf("text", "json")),
+    choiceFault("logs.level", logs.level, listOf("debug", "info", "warn", "error")),
+) + platform.peers.mapIndexedNotNull { i, peer -> addressFault("platform.peers[$i]", peer) }
+
+private fun nameFault(path: String, name: String): SpecFault? {
+    if (name.isNotEmpty() && name.all { it.isLetterOrDigit() || it == '-' }) return null
+    return SpecFault(path, "'$name' is no name", "use letters, digits and '-'")
+}
+
+private fun choiceFault(path: String, value: String, choices: List<String>): SpecFault? {
+    if (value in choices) return null
+    return SpecFault(path, "'$value' is unknown", "write one of ${choices.joinToString()}")
+}
--- /dev/null
+++ b/src/main/kotlin/web/HttpServer.kt
@@ -0,0 +1,238 @@
+/*
+ * The HTTP side towards callers and operators, and of the stand-ins: Netty with its codec, bounded headers and
+ * bodies, one call at a time on a connection, and backpressure for streamed answers.
+ */
+package org.sesamerouter.web
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.QueryStringDecoder
+import io.netty.handler.timeout.IdleStateEvent
+import io.netty.handler.timeout.IdleStateHandler
+import io.netty.util.concurrent.GlobalEventExecutor
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+private const val MAX_HEADER_BYTES = 8_192
+private const val MAX_LINE_BYTES = 4_096
+private const val IDLE_SECONDS = 120
+private const val MAX_PIPELINED = 16
+private const val LOW_WATER_BYTES = 32 * 1024
+private const val HIGH_WATER_BYTES = 128 * 1024
+private const val BACKLOG = 1_024
+
+/** One HTTP request with the means to answer it. Answers may be given from any thread, once. */
+class HttpCall internal constructor(
+    val method: String,
+    val path: String,
+    val query: Map<String, String>,
+    val body: String,
+    private val keepAlive: Boolean,
+    private val connection: ServerConnection,
+) {
+    /** Runs on the connection's event loop when the caller goes away before the answer ended. */
+    @Volatile
+    var onClosed: () -> Unit = {}
+
+    /** Runs on the connection's event loop when a streamed answer may be written to again. */
+    @Volatile
+    var onWritable: () -> Unit = {}
+
+    /** Path segments without empty ones. */
+    val segments: List<String> get() = path.split('/').filter { it.isNotEmpty() }
+
+    /** Whether what was written so far is on its way, so that more may be written. */
+    val isWritable: Boolean get() = connection.channel.isWritable
+
+    /** Answers with [status] and [body]. */
+    fun reply(status: Int, body: String, contentType: String = "application/json") {
+        val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+        HttpUtil.setKeepAlive(response, keepAlive)
+        connection.channel.writeAndFlush(response)
+        connection.finished(this, keepAlive)
+    }
+
+    /** Starts a streamed answer. */
+    fun startStream(contentType: String) {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        HttpUtil.setKeepAlive(response, keepAlive)
+        connection.channel.writeAndFlush(response)
+    }
+
+    /** Writes a part of a streamed answer. */
+    fun write(part: String) {
+        connection.channel.writeAndFlush(DefaultHttpContent(Unpooled.copiedBuffer(part, Charsets.UTF_8)))
+    }
+
+    /** Ends a streamed answer. */
+    fun endStream() {
+        connection.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        connection.finished(this, keepAlive)
+    }
+
+    /** Cuts the connection without ending the answer. */
+    fun abort() {
+        connection.channel.close()
+    }
+}
+
+/** A listening HTTP server. */
+class HttpServer internal constructor(private val listening: Channel, private val channels: DefaultChannelGroup) {
+    /** The port that the system gave. */
+    val port: Int get() = (listening.localAddress() as InetSocketAddress).port
+
+    /** Stops accepting connections; those that are open stay. */
+    fun stopAccepting() {
+        listening.close().syncUninterruptibly()
+    }
+
+    /** Closes the server and each connection after what was written to it has left, within [patienceMs]. */
+    fun closeAfterWrites(patienceMs: Long) {
+        listening.close().syncUninterruptibly()
+        val closing = channels.map { channel ->
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        }
+        val until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs)
+        closing.forEach { it.awaitUninterruptibly(maxOf(0, until - System.nanoTime()), TimeUnit.NANOSECONDS) }
+        channels.close().awaitUninterruptibly()
+    }
+
+    /** Closes the server and every connection at once. */
+    fun close() {
+        listening.close().syncUninterruptibly()
+        channels.close().awaitUninterruptibly()
+    }
+}
+
+/**
+ * Starts an HTTP server.
+ *
+ * @param address IP and port; port 0 lets the system choose.
+ * @param maxBodyBytes larger bodies are answered with 413.
+ */
+fun startHttpServer(
+    address: String,
+    group: EventLoopGroup,
+    maxBodyBytes: Int,
+    handler: (HttpCall) -> Unit,
+): HttpServer {
+    val channels = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    val listening = ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+        .childHandler(object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                channels.add(channel)
+                val config = HttpDecoderConfig().setMaxHeaderSize(
+                    MAX_HEADER_BYTES,
+                ).setMaxInitialLineLength(MAX_LINE_BYTES)
+                channel.pipeline()
+                    .addLast(IdleStateHandler(0, 0, IDLE_SECONDS))
+                    .addLast(HttpServerCodec(config))
+                    .addLast(HttpObjectAggregator(maxBodyBytes))
+                    .addLast(ServerConnection(channel, handler))
+            }
+        })
+        .bind(socketAddress(address))
+        .syncUninterruptibly()
+        .channel()
+    return HttpServer(listening, channels)
+}
+
+internal fun socketAddress(address: String): InetSocketAddress =
+    InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+
+internal class ServerConnection(val channel: Channel, private val handler: (HttpCall) -> Unit) :
+    SimpleChannelInboundHandler<FullHttpRequest>() {
+    private val waiting = ArrayDeque<HttpCall>()
+    private var current: HttpCall? = null
+
+    override fun channelRead0(ctx: ChannelHandlerContext, request: FullHttpRequest) {
+        if (request.decoderResult().isFailure) {
+            val status = HttpResponseStatus.BAD_REQUEST
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
+            ctx.writeAndFlush(response).addListener { ctx.close() }
+            return
+        }
+        val uri = QueryStringDecoder(request.uri())
+        val query = uri.parameters().mapValues { it.value.first() }
+        val body = request.content().toString(Charsets.UTF_8)
+        val call = HttpCall(request.method().name(), uri.path(), query, body, HttpUtil.isKeepAlive(request), this)
+        if (current == null) {
+            begin(call)
+        } else if (waiting.size < MAX_PIPELINED) {
+            waiting.addLast(call)
+        } else {
+            ctx.close()
+        }
+    }
+
+    fun finished(call: HttpCall, keepAlive: Boolean) {
+        channel.eventLoop().execute {
+            if (current !== call) return@execute
+            current = null
+            if (!keepAlive) {
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { channel.close() }
+            } else {
+                waiting.removeFirstOrNull()?.let(::begin)
+            }
+        }
+    }
+
+    private fun begin(call: HttpCall) {
+        current = call
+        handler(call)
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        current?.onClosed?.invoke()
+        current = null
+        waiting.clear()
+    }
+
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        if (channel.isWritable) current?.onWritable?.invoke()
+    }
+
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        if (event is IdleStateEvent && current == null) ctx.close()
+    }
+
+    @Deprecated("Netty still calls it.")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        ctx.close()
+    }
+}
