--- a/src/main/kotlin/membership/Membership.kt
+++ b/src/main/kotlin/membership/Membership.kt
@@ -88,9 +88,10 @@
     fun onMessage(message: ProbeMessage, from: String, now: Long): List<ProbeSend> {
         counts = counts.copy(received = counts.received + 1)
         message.members.forEach { merge(it, now) }
-        val replyTo = message.members.firstOrNull()?.peer ?: from
+        val sender = message.members.firstOrNull()
+        val replyTo = sender?.peer ?: from
         val out = when (message.kind) {
-            ProbeKind.PING -> listOf(send(replyTo, ProbeKind.ACK, message.sequence))
+            ProbeKind.PING -> listOf(send(replyTo, ProbeKind.ACK, message.sequence, about = sender?.host))
             ProbeKind.PING_REQUEST -> listOf(relay(message, replyTo, now))
             ProbeKind.ACK -> onAck(message)
         }
@@ -232,12 +233,19 @@
 
     private fun scale(): Int = maxOf(1, ceil(ln(members.size.toDouble() + 1)).toInt())
 
-    private fun send(to: String, kind: ProbeKind, sequence: Long, subject: String = ""): ProbeSend =
-        ProbeSend(to, ProbeMessage(kind, sequence, subject, travelling()))
+    private fun send(
+        to: String,
+        kind: ProbeKind,
+        sequence: Long,
+        subject: String = "",
+        about: String? = null,
+    ): ProbeSend = ProbeSend(to, ProbeMessage(kind, sequence, subject, travelling(about)))
 
-    private fun travelling(): List<Member> {
+    /** Records to send along. A host that is held for dead here has to hear so, or it could not refute. */
+    private fun travelling(about: String?): List<Member> {
         val out = LinkedHashMap<String, Member>()
         out[self.host] = self
+        members[about]?.let { if (it.status != MemberStatus.ALIVE) out[it.host] = it }
         val fresh = spreading.keys.toList().takeLast(RECORDS_PER_MESSAGE - 1)
         for (host in fresh) {
             members[host]?.let { out[host] = it }
--- a/src/main/kotlin/quarantine/Quarantine.kt
+++ b/src/main/kotlin/quarantine/Quarantine.kt
@@ -39,12 +39,15 @@
     /** Counts [notice]; returns true when it was new. */
     fun onDeath(notice: DeathNotice, now: Long): Boolean {
         expire(now)
-        val suspect = suspects.remove(notice.fingerprint) ?: Suspect(now)
+        val known = suspects[notice.fingerprint]?.takeIf { now - it.lastDeathMs < expiryMs }
+        val suspect = known ?: Suspect(now)
+        val isNew = suspect.deaths.add("${notice.target}@${notice.targetIncarnation}")
+        if (!isNew) return false
+        suspect.lastDeathMs = now
+        suspects.remove(notice.fingerprint)
         suspects[notice.fingerprint] = suspect
         if (suspects.size > capacity) suspects.remove(suspects.keys.first())
-        val isNew = suspect.deaths.add("${notice.target}@${notice.targetIncarnation}")
-        if (isNew) suspect.lastDeathMs = now
-        return isNew
+        return true
     }
 
     /** Clears a suspect that ran to its end; a quarantined request stays so until it expires. */
--- /dev/null
+++ b/src/test/kotlin/configuration/ConfigurationKeeperSpec.kt
@@ -0,0 +1,206 @@
+/*
+ * The configuration of one host against a naive fold of the whole log, through racing operators, copies of one change,
+ * retention, snapshots, restarts, peers and reads that come late or twice.
+ */
+package org.sesamerouter.configuration
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.booleans.shouldBeTrue
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.maps.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.sesamerouter.histories
+import org.sesamerouter.log.AppendOutcome
+import org.sesamerouter.log.LogRecord
+import org.sesamerouter.log.ReadOutcome
+
+/** Folds every change ever made, remembers all ids, knows no snapshots and no retention. */
+private class NaiveFold {
+    val specs = HashMap<ResourceKey, JsonObject>()
+    val inForce = HashMap<ResourceKey, Long>()
+    private val last = HashMap<ResourceKey, Long>()
+    private val ids = HashSet<String>()
+
+    fun fold(payload: String) {
+        val change = decode(payload) as? ConfigurationRecord.Change ?: return
+        if (!ids.add(change.id)) return
+        val key = ResourceKey(change.kind, change.name)
+        if (change.base != (inForce[key] ?: 0L)) return
+        val spec = change.spec
+        if (spec == null && key !in specs) return
+        val next = (last[key] ?: 0) + 1
+        last[key] = next
+        if (spec == null) {
+            specs.remove(key)
+            inForce.remove(key)
+        } else {
+            specs[key] = spec
+            inForce[key] = next
+        }
+    }
+}
+
+/** A log in memory with a floor. */
+private class FakeLog {
+    val all = ArrayList<String>()
+    var floor = 0
+
+    fun append(payload: String) {
+        all += payload
+    }
+
+    fun read(from: Long, most: Int): ReadOutcome.Records {
+        val start = maxOf(from.toInt(), floor)
+        val records = (start until minOf(all.size, start + most)).map { LogRecord(it.toLong(), all[it]) }
+        return ReadOutcome.Records(records, floor.toLong(), all.size.toLong())
+    }
+}
+
+private fun change(id: String, name: String, base: Long, weight: Int?): ConfigurationRecord.Change {
+    val spec = weight?.let { JsonObject(mapOf("weight" to JsonPrimitive(it))) }
+    return ConfigurationRecord.Change(id, "author", ResourceKind.ORGANISATION, name, base, spec)
+}
+
+private fun ConfigurationKeeper.readAll(log: FakeLog, most: Int = 10_000) {
+    onRead(log.read(state.revision + 1, most), 0)
+}
+
+class ConfigurationKeeperSpec :
+    FunSpec({
+        /** Plays [steps] on [keepers] and a log; returns the naive fold of everything in the log. */
+        fun play(steps: List<Int>, log: FakeLog, keepers: MutableList<ConfigurationKeeper>): NaiveFold {
+            for ((i, step) in steps.withIndex()) {
+                val who = step / 16 % keepers.size
+                val keeper = keepers[who]
+                val before = keeper.state.revision
+                val name = "o${step / 64 % 3}"
+                val key = ResourceKey(ResourceKind.ORGANISATION, name)
+                when (step % 9) {
+                    0, 1, 2 -> {
+                        val base = keeper.state.resources[key]?.generation ?: 0
+                        log.append(encode(change("c$i", name, base, if (step % 2 == 0) step else null)))
+                    }
+
+                    3 -> if (log.all.isNotEmpty()) log.append(log.all[step % log.all.size])
+
+                    4 -> keeper.readAll(log, most = 1 + step / 16 % 5)
+
+                    5 -> keeper.readAll(log)
+
+                    6 -> {
+                        val known = keepers[(who + 1) % keepers.size].catchUp(keeper.state.revision)
+                        keeper.onPeer(known.snapshot, known.records)
+                    }
+
+                    7 -> {
+                        keeper.readAll(log)
+                        if (step % 2 == 0) log.append("not a record of ours")
+                        log.append(encode(ConfigurationRecord.Snapshot(keeper.state.toSnapshot())))
+                        val covered = log.all.size - 1
+                        val counts = step % 2 != 0 && keeper.state.revision + 1 == covered.toLong()
+                        if (counts) log.floor = maxOf(log.floor, covered)
+                    }
+
+                    else -> keepers[who] = ConfigurationKeeper("host-$who", 1_000_000)
+                }
+                if (step % 9 != 8) (keeper.state.revision >= before).shouldBeTrue()
+            }
+            return NaiveFold().also { naive -> log.all.forEach(naive::fold) }
+        }
+
+        test("every host comes to the naive fold of the whole log, whatever it missed") {
+            checkAll(histories(seed = 11), Arb.list(Arb.int(0..99_999), 1..60)) { steps ->
+                val log = FakeLog()
+                val keepers = MutableList(3) { ConfigurationKeeper("host-$it", 1_000_000) }
+                val naive = play(steps, log, keepers)
+                keepers.forEach { keeper ->
+                    keeper.readAll(log)
+                    val known = keepers.maxBy { it.state.revision }.catchUp(keeper.state.revision)
+                    keeper.onPeer(known.snapshot, known.records)
+                    keeper.state.resources.mapValues { it.value.spec } shouldBe naive.specs
+                    keeper.state.resources.mapValues { it.value.generation } shouldBe naive.inForce
+                }
+            }
+        }
+
+        test("a snapshot that does not directly follow what it covers is passed over") {
+            val log = FakeLog()
+            val keeper = ConfigurationKeeper("a", 1_000_000)
+            log.append(encode(change("c1", "o1", 0, 1)))
+            keeper.readAll(log)
+            val early = encode(ConfigurationRecord.Snapshot(keeper.state.toSnapshot()))
+            log.append(encode(change("c2", "o2", 0, 2)))
+            log.append(early)
+            log.floor = 2
+            val fresh = ConfigurationKeeper("b", 1_000_000)
+            fresh.readAll(log)
+            fresh.state.resources.shouldBeEmpty()
+        }
+
+        test("of two racing changes the first in the log wins and the other learns why") {
+            val log = FakeLog()
+            val keeper = ConfigurationKeeper("a", 1_000_000)
+            keeper.readAll(log)
+            val first = keeper.change(change("c1", "o1", 0, 1), 0).filterIsInstance<KeeperEffect.Append>().single()
+            val second = keeper.change(change("c2", "o1", 0, 2), 0).filterIsInstance<KeeperEffect.Append>().single()
+            log.append(second.payload)
+            log.append(first.payload)
+            val answers = keeper.onRead(log.read(0, 10), 1).filterIsInstance<KeeperEffect.Answer>().associate {
+                it.id to
+                    it.answer
+            }
+            answers.getValue("c2").shouldBeInstanceOf<ChangeAnswer.Accepted>()
+            answers.getValue("c1").shouldBeInstanceOf<ChangeAnswer.Refused>()
+        }
+
+        test("a change whose reply was lost is looked for before it is appended again") {
+            val log = FakeLog()
+            val keeper = ConfigurationKeeper("a", 1_000_000)
+            keeper.readAll(log)
+            val append = keeper.change(change("c1", "o1", 0, 1), 0).filterIsInstance<KeeperEffect.Append>().single()
+            log.append(append.payload)
+            keeper.onAppended("c1", AppendOutcome.Unknown("reply lost"), 10)
+            keeper.onTick(
+                emptyList(),
+                writesSnapshots = false,
+                5_000,
+            ).filterIsInstance<KeeperEffect.Append>().size shouldBe
+                0
+            val effects = keeper.onRead(log.read(0, 10), 5_001)
+            effects.filterIsInstance<KeeperEffect.Answer>().single().answer.shouldBeInstanceOf<ChangeAnswer.Accepted>()
+            keeper.onTick(
+                emptyList(),
+                writesSnapshots = false,
+                6_000,
+            ).filterIsInstance<KeeperEffect.Append>().size shouldBe
+                0
+        }
+
+        test("a change that a later read does not show is appended again under the same id") {
+            val log = FakeLog()
+            val keeper = ConfigurationKeeper("a", 1_000_000)
+            keeper.readAll(log)
+            keeper.change(change("c1", "o1", 0, 1), 0)
+            keeper.onAppended("c1", AppendOutcome.Unknown("reply lost"), 10)
+            keeper.onRead(log.read(0, 10), 20)
+            val again = keeper.onTick(emptyList(), writesSnapshots = false, 30).filterIsInstance<KeeperEffect.Append>()
+            again.map { it.id } shouldBe listOf("c1")
+        }
+
+        test("the check can fail: without remembered ids a late copy of a change brings back what was replaced") {
+            val wins = change("c1", "o1", 0, 1)
+            val late = LogRecord(2, encode(wins.copy(base = null)))
+            val records = listOf(LogRecord(0, encode(wins)), LogRecord(1, encode(change("c2", "o1", 1, 2))))
+            val folded = records.fold(ConfigurationState()) { state, record -> state.fold(record) }
+            val forgetful = folded.copy(outcomesById = ConfigurationState().outcomesById)
+            folded.fold(late).resources.values.single().generation shouldBe 2
+            forgetful.fold(late).resources.values.single().generation.toInt() shouldBeGreaterThan 2
+        }
+    })
--- /dev/null
+++ b/src/test/kotlin/experiment/HistoryCheckerSpec.kt
@@ -0,0 +1,54 @@
+/*
+ * The history checker reports each breach that it is there for.
+ */
+package org.sesamerouter.experiment
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.sesamerouter.standin.RunRecord
+
+class HistoryCheckerSpec :
+    FunSpec({
+        val idempotent = MixEntry("plan", pipeline = "plan", share = 1)
+        val once = MixEntry("reserve", service = "booking", operation = "reserve", share = 1, once = true)
+
+        fun call(uid: String, ending: Ending, entry: MixEntry = idempotent) =
+            CallRecord(uid, uid, entry, "a", poison = false, ending, "", 1.0, 0.0)
+
+        fun run(uid: String, attempt: Int = 1) =
+            RunRecord("r-$uid", attempt, "", JsonObject(mapOf(UID_MEMBER to JsonPrimitive(uid))))
+
+        test("finds nothing in a history without breaches") {
+            val checker = HistoryChecker()
+            repeat(2) { checker.onRun(run("a", it)) }
+            checker.onRun(run("b"))
+            checker.onCall(call("a", Ending.ATTAINED))
+            checker.onCall(call("b", Ending.UNKNOWN, once))
+            checker.onCall(call("c", Ending.NOT_RUN))
+            checker.breaches() shouldBe Breaches()
+        }
+
+        test("finds a lost, a crossed and a cut answer") {
+            val checker = HistoryChecker()
+            checker.onCall(call("a", Ending.LOST))
+            checker.onCall(call("b", Ending.CROSSED))
+            checker.onCall(call("c", Ending.CUT))
+            checker.breaches() shouldBe Breaches(lost = 1, crossed = 1, cut = 1)
+        }
+
+        test("finds a request that ran twice although it may run once") {
+            val checker = HistoryChecker()
+            repeat(2) { checker.onRun(run("a", it)) }
+            checker.onCall(call("a", Ending.ATTAINED, once))
+            checker.breaches() shouldBe Breaches(doubled = 1)
+        }
+
+        test("finds a 'not run' of a request that ran") {
+            val checker = HistoryChecker()
+            checker.onRun(run("a"))
+            checker.onCall(call("a", Ending.NOT_RUN))
+            checker.breaches() shouldBe Breaches(untrueNotRun = 1)
+        }
+    })
--- /dev/null
+++ b/src/test/kotlin/experiment/WholePathSpec.kt
@@ -0,0 +1,106 @@
+/*
+ * The whole path over real sockets with faults: entry hosts, stand-ins and callers in one process. Judged by the
+ * history alone, never by time: no answer lost, doubled, crossed, cut or untruly "not run".
+ */
+package org.sesamerouter.experiment
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlin.concurrent.thread
+
+private const val SEED = 71L
+private const val REQUESTS_PER_SECOND = 60.0
+private const val SECONDS = 6.0
+
+class WholePathSpec :
+    FunSpec({
+        fun runWithFaults(
+            hosts: Int = 4,
+            tweak: (PlannedCall, Int) -> PlannedCall = { call, _ -> call },
+            faults: (Deployment) -> Unit,
+        ): HistoryChecker {
+            println("seed $SEED")
+            val checker = HistoryChecker()
+            val options = DeploymentOptions(hosts = hosts, seed = SEED, slotShare = 0.25)
+            Deployment(readExample("krakow"), options, checker::onRun).use { deployment ->
+                deployment.apply()
+                val dataCentres = deployment.hosts.map { it.settings.host.dataCentre }.distinct()
+                val driver = LoadDriver(deployment.example.traffic, dataCentres, SEED, checker)
+                val breaking = thread { faults(deployment) }
+                driver.run(driver.contextOf(deployment), listOf(LoadPhase(SECONDS, REQUESTS_PER_SECOND, tweak)))
+                breaking.join()
+                driver.close()
+            }
+            return checker
+        }
+
+        fun HistoryChecker.attained() = calls().count { it.ending == Ending.ATTAINED }
+
+        test("hosts that are killed and restarted, an engine that dies and cut streams breach nothing") {
+            val checker = runWithFaults { deployment ->
+                val engines = deployment.targets.getValue("engines")
+                engines[0].behaviour = engines[0].behaviour.copy(cutShare = 0.3)
+                Thread.sleep(1_000)
+                deployment.kill(deployment.hosts.first())
+                engines[1].crash()
+                Thread.sleep(1_000)
+                deployment.startHost(0)
+                engines[1].restart()
+                Thread.sleep(1_000)
+                deployment.kill(deployment.hosts.first())
+            }
+            checker.breaching().map { "${it.uid} ${it.entry.name} ${it.ending} ${it.reason}" } shouldBe emptyList()
+            checker.attained() shouldBeGreaterThan 0
+        }
+
+        test(
+            "a log that loses replies, then is down, breaches nothing, and keys of callers' own making run at most once",
+        ) {
+            val ownKeys = { call: PlannedCall, place: Int -> if (place % 2 == 0) call.copy(ownKey = true) else call }
+            val checker = runWithFaults(tweak = ownKeys) { deployment ->
+                deployment.log.behaviour = deployment.log.behaviour.copy(lostReplyShare = 0.5, latencyMs = 20)
+                Thread.sleep(2_000)
+                deployment.log.behaviour = deployment.log.behaviour.copy(down = true)
+                Thread.sleep(2_000)
+                deployment.log.behaviour = deployment.log.behaviour.copy(down = false, lostReplyShare = 0.0)
+            }
+            checker.breaching().map { "${it.uid} ${it.entry.name} ${it.ending} ${it.reason}" } shouldBe emptyList()
+            checker.calls().filter { it.entry.once && it.ending == Ending.ATTAINED }.size shouldBeGreaterThan 0
+        }
+
+        test("a planned stop of one host after the other cuts nothing") {
+            val checker = runWithFaults { deployment ->
+                deployment.hosts.take(2).forEachIndexed { i, host ->
+                    deployment.startHost(4 + i)
+                    deployment.stop(host)
+                }
+            }
+            checker.breaching().map { "${it.uid} ${it.entry.name} ${it.ending} ${it.reason}" } shouldBe emptyList()
+            checker.calls().filter { it.ending in setOf(Ending.FAILED, Ending.UNKNOWN) }.map { it.reason } shouldBe
+                emptyList()
+        }
+
+        test("a request that crashes its targets takes at most two, however often it is sent again") {
+            var deaths = 0
+            val poison = { call: PlannedCall, place: Int ->
+                if (place % 20 != 0) {
+                    call
+                } else {
+                    val entry = MixEntry("tags", pipeline = "garment-tags", share = 1, tokens = 8)
+                    call.copy(uid = "poison", entry = entry, organisation = "wspolnota", poison = true)
+                }
+            }
+            val checker = runWithFaults(tweak = poison) { deployment ->
+                val engines = deployment.targets.getValue("engines")
+                repeat((SECONDS * 10).toInt() + 20) {
+                    Thread.sleep(100)
+                    engines.forEach { it.restart() }
+                }
+                deaths = engines.sumOf { it.crashes.get() }
+            }
+            deaths shouldBeLessThanOrEqual 2
+            checker.breaching().map { "${it.uid} ${it.entry.name} ${it.ending} ${it.reason}" } shouldBe emptyList()
+        }
+    })
--- /dev/null
+++ b/src/test/kotlin/quarantine/QuarantineSpec.kt
@@ -0,0 +1,85 @@
+/*
+ * The quarantine against a naive one that keeps every death for ever, and its bounds.
+ */
+package org.sesamerouter.quarantine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import org.sesamerouter.histories
+
+private const val EXPIRY_MS = 100L
+
+private class NaiveQuarantine {
+    private class Event(val fingerprint: String, val death: String?, val atMs: Long)
+
+    private val events = ArrayList<Event>()
+
+    fun onDeath(fingerprint: String, death: String, now: Long) {
+        events += Event(fingerprint, death, now)
+    }
+
+    fun onSuccess(fingerprint: String, now: Long) {
+        if (standing(fingerprint, now) == Standing.SUSPECT) events.removeIf { it.fingerprint == fingerprint }
+    }
+
+    fun standing(fingerprint: String, now: Long): Standing {
+        val counted = HashSet<String>()
+        var last = Long.MIN_VALUE / 2
+        for (event in events.filter { it.fingerprint == fingerprint }) {
+            if (event.atMs - last >= EXPIRY_MS) counted.clear()
+            if (counted.add(checkNotNull(event.death))) last = event.atMs
+        }
+        return when {
+            counted.isEmpty() || now - last >= EXPIRY_MS -> Standing.CLEAR
+            counted.size >= DEATHS_TO_QUARANTINE -> Standing.QUARANTINED
+            else -> Standing.SUSPECT
+        }
+    }
+}
+
+class QuarantineSpec :
+    FunSpec({
+        test("stands as a naive quarantine does over generated histories of deaths and successes") {
+            checkAll(histories(seed = 31), Arb.list(Arb.int(0..99_999), 1..80)) { steps ->
+                val ours = Quarantine(EXPIRY_MS)
+                val naive = NaiveQuarantine()
+                var now = 0L
+                for (step in steps) {
+                    now += step % 30
+                    val fingerprint = "f${step / 32 % 4}"
+                    if (step % 3 == 0) {
+                        ours.onSuccess(fingerprint, now)
+                        naive.onSuccess(fingerprint, now)
+                    } else {
+                        ours.onDeath(DeathNotice(fingerprint, "t${step / 128 % 3}", "i${step / 512 % 2}"), now)
+                        naive.onDeath(fingerprint, "t${step / 128 % 3}@i${step / 512 % 2}", now)
+                    }
+                    repeat(4) { ours.standing("f$it", now) shouldBe naive.standing("f$it", now) }
+                }
+            }
+        }
+
+        test("counts a death that two hosts report once") {
+            val quarantine = Quarantine(EXPIRY_MS)
+            repeat(2) { quarantine.onDeath(DeathNotice("f", "t1", "i1"), 0) }
+            quarantine.standing("f", 0) shouldBe Standing.SUSPECT
+        }
+
+        test("keeps a bounded number of fingerprints and drops the oldest first") {
+            val quarantine = Quarantine(EXPIRY_MS, capacity = 10)
+            repeat(100) { quarantine.onDeath(DeathNotice("f$it", "t", "i"), 0) }
+            quarantine.size shouldBeLessThanOrEqual 10
+            quarantine.standing("f99", 0) shouldBe Standing.SUSPECT
+        }
+
+        test("a fingerprint follows organisation, plan and content") {
+            fingerprintOf("a", "p", "x") shouldBe fingerprintOf("a", "p", "x")
+            fingerprintOf("a", "p", "x") shouldNotBe fingerprintOf("b", "p", "x")
+        }
+    })
