--- /dev/null
+++ b/src/main/kotlin/capacity/CapacityProbe.kt
@@ -0,0 +1,420 @@
+/*
+ * Measures what each role costs one process at several sizes: processor time of the control thread's work, retained
+ * heap and bytes. Time in the simulated parts is virtual; processor time is real.
+ */
+package org.sesamerouter.capacity
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.sesamerouter.api.RunAnswer
+import org.sesamerouter.api.RunCall
+import org.sesamerouter.api.WireJson
+import org.sesamerouter.configuration.Catalogue
+import org.sesamerouter.configuration.ConfigurationRecord
+import org.sesamerouter.configuration.ConfigurationState
+import org.sesamerouter.configuration.ResourceKind
+import org.sesamerouter.configuration.SnapshotState
+import org.sesamerouter.configuration.catalogueOf
+import org.sesamerouter.configuration.encode
+import org.sesamerouter.configuration.toState
+import org.sesamerouter.ledger.Holder
+import org.sesamerouter.ledger.Ledger
+import org.sesamerouter.ledger.Ticket
+import org.sesamerouter.location.chooseHost
+import org.sesamerouter.log.LogRecord
+import org.sesamerouter.membership.Member
+import org.sesamerouter.membership.MemberStatus
+import org.sesamerouter.membership.Membership
+import org.sesamerouter.membership.ProbeSend
+import org.sesamerouter.membership.encodeProbe
+import org.sesamerouter.orders.OrderController
+import org.sesamerouter.pipeline.AttemptId
+import org.sesamerouter.pipeline.CallTarget
+import org.sesamerouter.pipeline.RequestCoordinator
+import org.sesamerouter.pipeline.RequestEffect
+import org.sesamerouter.pipeline.RequestEvent
+import org.sesamerouter.pipeline.ServingState
+import org.sesamerouter.quarantine.DeathNotice
+import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.routing.TargetTable
+import org.sesamerouter.routing.defaultTargetChooser
+import org.sesamerouter.target.LoadReport
+import org.sesamerouter.target.ModelState
+import java.lang.management.ManagementFactory
+import java.util.Random
+
+private const val NANOS_PER_MICRO = 1_000.0
+private const val ROUNDS = 60
+private const val PROBE_INTERVAL_MS = 1_000L
+private const val TICK_MS = 20L
+private const val DATA_CENTRES = 9
+private const val REPEATS = 20
+private const val KEYS = 50_000
+private const val REQUESTS = 3_000
+
+/** The sizes to measure at and the size to read the lines at. */
+data class CapacitySizes(
+    val members: List<Int> = listOf(8, 16, 32, 64),
+    val targets: List<Int> = listOf(20, 80, 240, 680),
+    val organisations: List<Int> = listOf(5, 60, 200, 600),
+    val pipelines: Int = 32,
+    val targetMembers: Int = 400,
+    val targetTargets: Int = 670,
+    val targetOrganisations: Int = 600,
+)
+
+/** Measures all roles at [sizes]. */
+class CapacityProbe(private val sizes: CapacitySizes) {
+    private val threads = ManagementFactory.getThreadMXBean()
+
+    /** Returns the slope of every figure; [onRole] hears which role is measured. */
+    fun measure(onRole: (String) -> Unit = {}): List<Slope> {
+        val roles = listOf(
+            "membership" to ::membership,
+            "answering addresses" to ::addresses,
+            "configuration" to ::configuration,
+            "load reports and routing" to ::routing,
+            "order controllers" to ::orders,
+            "serving requests" to ::serving,
+            "ledger" to ::ledger,
+            "quarantine" to ::quarantine,
+        )
+        return roles.flatMap { (name, role) ->
+            onRole(name)
+            role()
+        }
+    }
+
+    private fun membership(): List<Slope> {
+        val measured = sizes.members.associateWith { runMembership(it) }
+        fun slope(figure: String, unit: String, value: (MembershipCost) -> Double) = Slope(
+            "membership",
+            figure,
+            unit,
+            "members",
+            measured.map { (size, cost) -> Point(size, value(cost)) },
+            sizes.targetMembers,
+        )
+        return listOf(
+            slope("processor", "us/s") { it.microsPerSecond },
+            slope("sent", "bytes/s") { it.bytesPerSecond },
+            slope("messages sent", "1/s") { it.messagesPerSecond },
+            slope("heap", "bytes") { it.heapBytes },
+        )
+    }
+
+    private class MembershipCost(
+        val microsPerSecond: Double,
+        val bytesPerSecond: Double,
+        val messagesPerSecond: Double,
+        val heapBytes: Double,
+    )
+
+    /** Runs [size] members over a network in memory for [ROUNDS] probe intervals of virtual time, and charges one. */
+    private fun runMembership(size: Int): MembershipCost {
+        val random = Random(size.toLong())
+        var hosts = emptyList<Membership>()
+        val heap = heapOf {
+            hosts = List(size) { Membership(memberOf(it), PROBE_INTERVAL_MS, random) }
+            hosts.forEach { it.setSeeds(List(size) { seed -> peerOf(seed) }) }
+            simulate(hosts, ROUNDS)
+            hosts
+        }
+        var bytes = 0L
+        var sentBefore = 0L
+        val micros = microsOf {
+            sentBefore = hosts.sumOf { it.counts.sent }
+            bytes = simulate(hosts, ROUNDS)
+        }
+        val seconds = ROUNDS * PROBE_INTERVAL_MS / 1_000.0
+        return MembershipCost(
+            micros / size / seconds,
+            bytes / size / seconds,
+            (hosts.sumOf { it.counts.sent } - sentBefore) / size / seconds,
+            heap / size,
+        )
+    }
+
+    private var virtualMs = 0L
+
+    private fun simulate(hosts: List<Membership>, rounds: Int): Long {
+        var bytes = 0L
+        fun deliver(sends: List<ProbeSend>) {
+            for (send in sends) {
+                bytes += encodeProbe(send.message).size
+                val to = send.to.substringAfter(':').toInt() - FIRST_PORT
+                deliver(hosts[to].onMessage(send.message, send.to, virtualMs))
+            }
+        }
+        val until = virtualMs + rounds * PROBE_INTERVAL_MS
+        while (virtualMs < until) {
+            virtualMs += TICK_MS * 5
+            hosts.forEach { deliver(it.onTick(virtualMs)) }
+        }
+        return bytes
+    }
+
+    private fun memberOf(index: Int) = Member(
+        "host-$index",
+        index.toLong(),
+        0,
+        MemberStatus.ALIVE,
+        peerOf(index),
+        "127.0.0.1:${FIRST_PORT + index}",
+        "dc-${index % DATA_CENTRES}",
+        ready = true,
+    )
+
+    private fun peerOf(index: Int) = "127.0.0.1:${FIRST_PORT + index}"
+
+    private fun addresses(): List<Slope> {
+        val random = Random(1)
+        val points = sizes.members.map { size ->
+            val members = List(size) { memberOf(it) }
+            val micros = microsOf { repeat(KEYS) { chooseHost(members, "dc-${it % DATA_CENTRES}", random) } }
+            Point(size, micros / KEYS)
+        }
+        return listOf(Slope("answering addresses", "processor", "us/answer", "members", points, sizes.targetMembers))
+    }
+
+    private fun configuration(): List<Slope> {
+        val sized = sizes.organisations.map { organisations ->
+            val targets = sizes.targets.getOrElse(sizes.organisations.indexOf(organisations)) { sizes.targets.last() }
+            organisations to stateOf(organisations, targets)
+        }
+        val resources = sized.map { (_, state) -> state.resources.size }
+        val target = sizes.targetOrganisations + sizes.pipelines + TARGET_POOLS
+        fun slope(figure: String, unit: String, value: (ConfigurationState) -> Double) = Slope(
+            "configuration",
+            figure,
+            unit,
+            "resources",
+            sized.mapIndexed { i, (_, state) -> Point(resources[i], value(state)) },
+            target,
+        )
+        return listOf(
+            slope("processor", "us/change") { state -> changeMicros(state) },
+            slope("snapshot", "bytes") { state ->
+                encode(ConfigurationRecord.Snapshot(state.toSnapshot())).length.toDouble()
+            },
+            slope("recovery", "us") { state -> recoveryMicros(state) },
+            slope("heap", "bytes") { state -> heapOf { catalogueOf(state) to state.toSnapshot().toState() } },
+        )
+    }
+
+    private fun changeMicros(state: ConfigurationState): Double = microsOf {
+        repeat(REPEATS) {
+            val change =
+                organisationChange("c$it", "org-0", state.resources.values.first { r -> r.name == "org-0" }.generation)
+            catalogueOf(state.fold(LogRecord(state.revision + 1, encode(change))))
+        }
+    } / REPEATS
+
+    private fun recoveryMicros(state: ConfigurationState): Double {
+        val text = WireJson.encodeToString(SnapshotState.serializer(), state.toSnapshot())
+        return microsOf {
+            repeat(REPEATS) { catalogueOf(WireJson.decodeFromString(SnapshotState.serializer(), text).toState()) }
+        } / REPEATS
+    }
+
+    private fun routing(): List<Slope> {
+        val report =
+            LoadReport("engine-1", 4, 0, 8, models = List(3) { ModelState("model-$it", "7", listOf("a", "b")) })
+        val body = WireJson.encodeToString(LoadReport.serializer(), report).length + HTTP_BYTES
+        fun slope(figure: String, unit: String, value: (Catalogue) -> Double) = Slope(
+            "load reports and routing",
+            figure,
+            unit,
+            "targets",
+            sizes.targets.map { Point(it, value(catalogueOf(stateOf(5, it)))) },
+            sizes.targetTargets,
+        )
+        return listOf(
+            slope("processor", "us/report") { reportMicros(it, report) },
+            slope("polled", "bytes/s") { polledBytesPerSecond(it, body) },
+            slope("heap", "bytes") { catalogue -> heapOf { TargetTable().also { it.apply(catalogue, 400) } } },
+        )
+    }
+
+    private fun reportMicros(catalogue: Catalogue, report: LoadReport): Double {
+        val table = TargetTable().also { it.apply(catalogue, 1) }
+        val keys = table.all().flatMap { it.targets }.map { it.key }
+        return microsOf { repeat(KEYS) { table.onReport(keys[it % keys.size], report, it.toLong()) } } / KEYS
+    }
+
+    /** The poller takes a fixed number of targets of each pool, and more time between polls the more there are. */
+    private fun polledBytesPerSecond(catalogue: Catalogue, body: Int): Double {
+        val polled = minOf(catalogue.pools.values.sumOf { it.targets.size }, POLLED * catalogue.pools.size)
+        val seconds = if (polled <= POLLED * 2) 1.0 else maxOf(1.0, polled * POLL_BYTES / POLL_BYTES_PER_SECOND)
+        return polled * body / seconds
+    }
+
+    private fun orders(): List<Slope> {
+        val points = sizes.targets.map { size ->
+            val controller = OrderController(Holder("host-0", 1), 15_000)
+            controller.apply(catalogueOf(stateOf(5, size)))
+            val live = List(sizes.members.last()) { "host-$it" }
+            val report = LoadReport("i", models = listOf(ModelState("model-0", "1")))
+            repeat(size) { controller.onReport("127.0.0.1:${FIRST_PORT + it}", report) }
+            Point(
+                size,
+                microsOf { repeat(REPEATS) { controller.onTick(live, it.toLong()) } } / REPEATS * TICKS_PER_SECOND,
+            )
+        }
+        return listOf(Slope("order controllers", "processor", "us/s", "targets", points, sizes.targetTargets))
+    }
+
+    private fun serving(): List<Slope> {
+        val points = sizes.targets.map { size ->
+            val state = ServingState(Ledger(Holder("host-0", 1)))
+            val catalogue = catalogueOf(stateOf(5, size))
+            state.catalogue = catalogue
+            state.targets.apply(catalogue, 1)
+            val coordinator = RequestCoordinator(state, defaultTargetChooser("host-0", Random(1)))
+            Point(size, microsOf { repeat(REQUESTS) { serve(coordinator, it) } } / REQUESTS)
+        }
+        return listOf(Slope("serving requests", "processor", "us/request", "targets", points, sizes.targetTargets))
+    }
+
+    private fun serve(coordinator: RequestCoordinator, number: Int) {
+        val call = RunCall("org-${number % 5}", JsonPrimitive("input $number"))
+        var pending = coordinator.handle(
+            RequestEvent.Arrived("r$number", CallTarget.PipelineCall("pipeline-0"), call),
+            number.toLong(),
+        )
+        while (true) {
+            val start = pending.filterIsInstance<RequestEffect.StartAttempt>().firstOrNull() ?: return
+            pending = coordinator.handle(succeeded(start.attempt), number.toLong())
+        }
+    }
+
+    private fun succeeded(attempt: AttemptId) = RequestEvent.Succeeded(attempt, JsonPrimitive(1), "", 0, null)
+
+    private fun ledger(): List<Slope> {
+        val counts = listOf(KEYS / 8, KEYS / 4, KEYS / 2, KEYS)
+        val ticket = Ticket("host-0", 1, 0, "nonce").toString()
+        fun fill(count: Int) = Ledger(Holder("host-0", 1)).also { ledger ->
+            repeat(count) {
+                val key = "$ticket/$it"
+                ledger.begin(key, "fingerprint") { true }
+                ledger.dispatch(key)
+                ledger.done(key, RunAnswer("r$it", JsonPrimitive(it)))
+            }
+        }
+        val micros = counts.map { count -> Point(count, microsOf { fill(count) }) }
+        val heap = counts.map { count -> Point(count, heapOf { fill(count) }) }
+        val target = TARGET_KEYS
+        return listOf(
+            Slope("ledger", "processor for all", "us", "keys", micros, target),
+            Slope("ledger", "heap", "bytes", "keys", heap, target),
+        )
+    }
+
+    private fun quarantine(): List<Slope> {
+        val counts = listOf(512, 1_024, 2_048, 4_096)
+        fun fill(count: Int) = Quarantine().also { quarantine ->
+            repeat(count) {
+                quarantine.onDeath(DeathNotice("fingerprint-%032d".format(it), "127.0.0.1:9000", "i"), it.toLong())
+            }
+        }
+        val micros = counts.map { count -> Point(count, microsOf { fill(count) }) }
+        val heap = counts.map { count -> Point(count, heapOf { fill(count) }) }
+        return listOf(
+            Slope("quarantine", "processor for all", "us", "suspects", micros, counts.last()),
+            Slope("quarantine", "heap", "bytes", "suspects", heap, counts.last()),
+        )
+    }
+
+    private fun stateOf(organisations: Int, targets: Int): ConfigurationState {
+        val poolSize = maxOf(1, targets / TARGET_POOLS)
+        val changes = List(organisations) { organisationChange("o$it", "org-$it", 0) } +
+            List(TARGET_POOLS) { poolChange(it, poolSize) } +
+            List(sizes.pipelines) { pipelineChange(it) } +
+            change(
+                "m",
+                ResourceKind.MODEL,
+                "model-0",
+                mapOf(
+                    "pool" to JsonPrimitive("pool-3"),
+                    "version" to JsonPrimitive("1"),
+                ),
+            )
+        return changes.foldIndexed(ConfigurationState()) { i, state, change ->
+            state.fold(LogRecord(i.toLong(), encode(change)))
+        }
+    }
+
+    private fun organisationChange(id: String, name: String, base: Long) = ConfigurationRecord.Change(
+        id,
+        "capacity",
+        ResourceKind.ORGANISATION,
+        name,
+        base,
+        JsonObject(mapOf("weight" to JsonPrimitive(3), "max_in_progress" to JsonPrimitive(500))),
+    )
+
+    private fun poolChange(index: Int, size: Int): ConfigurationRecord.Change {
+        val stage = listOf("encode", "retrieve", "rerank", "generate", "service", "service")[index]
+        val targets = List(size) {
+            JsonObject(
+                mapOf(
+                    "name" to JsonPrimitive("target-$index-$it"),
+                    "address" to JsonPrimitive("127.0.0.1:${FIRST_PORT + index * size + it}"),
+                    "data_centre" to JsonPrimitive("dc-${it % DATA_CENTRES}"),
+                    "slots" to JsonPrimitive(8),
+                ),
+            )
+        }
+        val spec = mapOf("stage" to JsonPrimitive(stage), "targets" to JsonArray(targets))
+        return change("p$index", ResourceKind.POOL, "pool-$index", spec)
+    }
+
+    private fun pipelineChange(index: Int): ConfigurationRecord.Change {
+        val stages = listOf("encode", "retrieve", "rerank", "generate").mapIndexed { i, name ->
+            JsonObject(mapOf("name" to JsonPrimitive(name), "pool" to JsonPrimitive("pool-$i")))
+        }
+        return change("l$index", ResourceKind.PIPELINE, "pipeline-$index", mapOf("stages" to JsonArray(stages)))
+    }
+
+    private fun change(
+        id: String,
+        kind: ResourceKind,
+        name: String,
+        spec: Map<String, kotlinx.serialization.json.JsonElement>,
+    ) = ConfigurationRecord.Change(id, "capacity", kind, name, 0, JsonObject(spec))
+
+    /** Returns the processor time of [work] in microseconds; it runs once before, to be compiled. */
+    private fun microsOf(work: () -> Unit): Double {
+        work()
+        val before = threads.currentThreadCpuTime
+        work()
+        return (threads.currentThreadCpuTime - before) / NANOS_PER_MICRO
+    }
+
+    /** Returns the heap that the result of [make] keeps in bytes. */
+    private fun heapOf(make: () -> Any): Double {
+        val before = usedHeap()
+        val kept = make()
+        val after = usedHeap()
+        check(kept.hashCode() != Int.MIN_VALUE + 1)
+        return maxOf(0L, after - before).toDouble()
+    }
+
+    private fun usedHeap(): Long {
+        repeat(3) { System.gc() }
+        val runtime = Runtime.getRuntime()
+        return runtime.totalMemory() - runtime.freeMemory()
+    }
+
+    private companion object {
+        const val FIRST_PORT = 10_000
+        const val TARGET_POOLS = 6
+        const val HTTP_BYTES = 230
+        const val POLLED = 24
+        const val POLL_BYTES = 500.0
+        const val POLL_BYTES_PER_SECOND = 2_048.0
+        const val TICKS_PER_SECOND = 10
+        const val TARGET_KEYS = 100_000
+    }
+}
--- a/src/main/kotlin/cli/BenchCommand.kt
+++ b/src/main/kotlin/cli/BenchCommand.kt
@@ -18,12 +18,16 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.serialization.Serializable
 import org.sesamerouter.api.PrettyJson
+import org.sesamerouter.api.WireJson
+import org.sesamerouter.configuration.Declaration
 import org.sesamerouter.configuration.PipelineSpec
+import org.sesamerouter.configuration.PoolSpec
 import org.sesamerouter.configuration.ResourceKind
 import org.sesamerouter.configuration.readSpec
 import org.sesamerouter.experiment.Breaches
 import org.sesamerouter.experiment.CallerContext
 import org.sesamerouter.experiment.EXAMPLES
+import org.sesamerouter.experiment.Example
 import org.sesamerouter.experiment.GroupReport
 import org.sesamerouter.experiment.HistoryChecker
 import org.sesamerouter.experiment.LoadDriver
@@ -32,10 +36,14 @@
 import org.sesamerouter.experiment.groupTable
 import org.sesamerouter.experiment.newGroup
 import org.sesamerouter.experiment.readExample
+import org.sesamerouter.standin.RUNS_PATH
+import org.sesamerouter.standin.RunRecord
+import org.sesamerouter.web.ClientRequest
+import org.sesamerouter.web.FetchOutcome
 import org.sesamerouter.web.HttpClient
 import java.util.Random
 
-/** What a bench measured. Runs on targets are not seen, so doubled and untrue "not run" are not judged here. */
+/** What a bench measured; doubled and untrue "not run" are judged by the runs that the stand-ins tell. */
 @Serializable
 data class BenchReport(
     val rate: Double,
@@ -70,7 +78,15 @@
             it.name to readSpec(it.kind, it.name, it.spec).getOrElse { f -> error(f) } as PipelineSpec
         }
         val checker = HistoryChecker()
-        val driver = LoadDriver(read.traffic, dataCentresOf(read.declarations), seed, checker)
+        val driver =
+            LoadDriver(
+                read.traffic,
+                poolsOf(read.declarations).flatMap {
+                    it.targets
+                }.map { it.dataCentre }.distinct(),
+                seed,
+                checker,
+            )
         val group = newGroup(2)
         val random = Random(seed)
         val context =
@@ -79,15 +95,32 @@
             }
         driver.run(context, listOf(LoadPhase(seconds, rate)))
         driver.close()
+        readRuns(HttpClient(group), read, checker)
         group.shutdownGracefully()
         show(checker)
     }
 
-    private fun dataCentresOf(items: List<org.sesamerouter.configuration.Declaration>): List<String> =
-        items.filter { it.kind == ResourceKind.POOL }.flatMap { item ->
-            val spec = readSpec(item.kind, item.name, item.spec).getOrElse { emptyList<String>() }
-            (spec as? org.sesamerouter.configuration.PoolSpec)?.targets.orEmpty().map { it.dataCentre }
-        }.distinct()
+    private fun readRuns(client: HttpClient, example: Example, checker: HistoryChecker) {
+        for (target in poolsOf(example.declarations).flatMap { it.targets }) {
+            val outcome = client.fetchBlocking(target.address, ClientRequest("GET", RUNS_PATH))
+            val body = (outcome as? FetchOutcome.Replied)?.reply?.body
+            if (body ==
+                null
+            ) {
+                echo(
+                    "the runs of ${target.name} are not known: it does not answer at ${target.address}",
+                    err = true,
+                )
+            }
+            body?.lines()?.filter { it.isNotEmpty() }?.forEach {
+                checker.onRun(WireJson.decodeFromString(RunRecord.serializer(), it))
+            }
+        }
+    }
+
+    private fun poolsOf(items: List<Declaration>): List<PoolSpec> = items
+        .filter { it.kind == ResourceKind.POOL }
+        .map { readSpec(it.kind, it.name, it.spec).getOrElse { faults -> error(faults) } as PoolSpec }
 
     private fun show(checker: HistoryChecker) {
         val calls = checker.calls()
@@ -95,8 +128,8 @@
             groupReport("all", calls)
         val result = BenchReport(rate, seconds, seed, groups, checker.breaches())
         echo(groupTable(groups))
-        echo("lost ${result.breaches.lost}, crossed ${result.breaches.crossed}, cut ${result.breaches.cut}")
+        echo(result.breaches.summary())
         report?.writeText(PrettyJson.encodeToString(BenchReport.serializer(), result) + "\n")
-        if (result.breaches.lost + result.breaches.crossed + result.breaches.cut > 0) throw ProgramResult(1)
+        if (result.breaches.total > 0) throw ProgramResult(1)
     }
 }
--- /dev/null
+++ b/src/main/kotlin/cli/CapacityCommand.kt
@@ -0,0 +1,76 @@
+/*
+ * Prints what each role costs at several sizes, the line through the points and its value at the target size.
+ */
+package org.sesamerouter.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.parameters.options.convert
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.clikt.parameters.types.int
+import kotlinx.serialization.builtins.ListSerializer
+import org.sesamerouter.api.PrettyJson
+import org.sesamerouter.capacity.CapacityProbe
+import org.sesamerouter.capacity.CapacitySizes
+import org.sesamerouter.capacity.Slope
+import org.sesamerouter.capacity.measureIdeas
+
+internal class CapacityCommand : CliktCommand("capacity") {
+    private val defaults = CapacitySizes()
+    private val members by option("--members", help = "sizes, with commas").convert {
+        sizes(it)
+    }.default(defaults.members)
+    private val targets by option("--targets", help = "sizes, with commas").convert {
+        sizes(it)
+    }.default(defaults.targets)
+    private val organisations by option("--organisations", help = "sizes, with commas").convert { sizes(it) }
+        .default(defaults.organisations)
+    private val pipelines by option("--pipelines").int().default(defaults.pipelines)
+    private val ideas by option("--ideas", help = "measure the ideas of the related paper instead").flag()
+    private val report by option("--report", help = "file for the JSON report").file()
+
+    override fun help(context: Context) = "Measures control cost at several sizes and extrapolates to the target size."
+
+    override fun run() {
+        if (ideas) {
+            measureIdeas().forEach { echo("%-36s %-46s %-22s %10.2f".format(it.idea, it.way, it.figure, it.value)) }
+            return
+        }
+        if (listOf(members, targets, organisations).any {
+                it.size < 2
+            }
+        ) {
+            throw UsageError("give at least two sizes of each")
+        }
+        val probe = CapacityProbe(CapacitySizes(members, targets, organisations, pipelines))
+        val slopes = probe.measure { echo("measuring $it", err = true) }
+        echo("%-26s %-18s %-10s %-10s %-40s %12s %6s %12s".format(*HEAD))
+        slopes.forEach { echo(row(it)) }
+        report?.writeText(PrettyJson.encodeToString(ListSerializer(Slope.serializer()), slopes) + "\n")
+    }
+
+    private fun row(slope: Slope): String {
+        val points = slope.points.joinToString(" ") { "${it.size}:%.4g".format(it.value) }
+        return "%-26s %-18s %-10s %-10s %-40s %12.4g %6.3f %12.4g".format(
+            slope.role,
+            slope.figure,
+            slope.unit,
+            slope.per,
+            points,
+            slope.fit.slope,
+            slope.fit.quality,
+            slope.atTarget,
+        )
+    }
+
+    private fun sizes(text: String): List<Int> =
+        text.split(',').map { it.trim().toIntOrNull() ?: throw UsageError("'$it' is no size; write 8,16,32") }
+
+    private companion object {
+        val HEAD = arrayOf("ROLE", "FIGURE", "UNIT", "PER", "MEASURED", "SLOPE", "FIT", "AT TARGET")
+    }
+}
--- a/src/main/kotlin/cli/DemoCommand.kt
+++ b/src/main/kotlin/cli/DemoCommand.kt
@@ -25,7 +25,6 @@
 import org.sesamerouter.experiment.groupTable
 import org.sesamerouter.experiment.readExample
 import org.sesamerouter.experiment.sumCosts
-import org.sesamerouter.settings.LogSettings
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
@@ -43,7 +42,6 @@
         "Runs stand-ins and 6 entry hosts on loopback, sends a load with a surge and checks every answer."
 
     override fun run() {
-        configureLogs(LogSettings(level = "warn"))
         val checker = HistoryChecker()
         echo("starting the deployment $example, seed $seed")
         Deployment(readExample(example), DeploymentOptions(seed = seed), checker::onRun).use { deployment ->
@@ -53,10 +51,7 @@
             report(deployment, checker)
         }
         val breaches = checker.breaches()
-        echo(
-            "lost ${breaches.lost}, doubled ${breaches.doubled}, crossed ${breaches.crossed}, cut ${breaches.cut}, " +
-                "untrue not run ${breaches.untrueNotRun}",
-        )
+        echo(breaches.summary())
         if (breaches.total > 0) throw ProgramResult(1)
     }
 
--- a/src/main/kotlin/cli/Main.kt
+++ b/src/main/kotlin/cli/Main.kt
@@ -7,11 +7,12 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import org.sesamerouter.settings.LogSettings
 
 internal class SesamerouterCommand : CliktCommand("sesamerouter") {
     override fun help(context: Context) = "Serves multi-stage model pipelines. See docs/OPERATIONS.md."
 
-    override fun run() = Unit
+    override fun run() = configureLogs(LogSettings(level = "warn"))
 }
 
 /** Runs the command line. */
@@ -29,6 +30,8 @@
             DemoCommand(),
             BenchCommand(),
             ExperimentCommand(),
+            CapacityCommand(),
+            HotPathCommand(),
         )
         .main(args)
 }
--- a/src/main/kotlin/configuration/ConfigurationKeeper.kt
+++ b/src/main/kotlin/configuration/ConfigurationKeeper.kt
@@ -7,12 +7,12 @@
 package org.sesamerouter.configuration
 
 import org.sesamerouter.log.AppendOutcome
+import org.sesamerouter.log.LOG_RETRY_MS
+import org.sesamerouter.log.LOG_WAIT_MS
 import org.sesamerouter.log.LogRecord
 import org.sesamerouter.log.ReadOutcome
 
 private const val RECENT_RECORDS = 256
-private const val LONG_POLL_MS = 1_000L
-private const val READ_RETRY_MS = 200L
 private const val APPEND_RETRY_MS = 300L
 private const val CHANGE_PATIENCE_MS = 8_000L
 private const val PEER_RETRY_MS = 500L
@@ -118,17 +118,17 @@
     fun onRead(outcome: ReadOutcome, now: Long): List<KeeperEffect> = run {
         reading = false
         when (outcome) {
-            is ReadOutcome.Unavailable -> nextReadMs = now + READ_RETRY_MS
+            is ReadOutcome.Unavailable -> nextReadMs = now + LOG_RETRY_MS
 
             is ReadOutcome.Records -> {
                 logReadMs = now
                 floor = outcome.floor
                 end = outcome.end
-                nextReadMs = now
                 foldAll(outcome.records)
                 skipTo(outcome)
                 if (state.revision + 1 >= outcome.end) isReady = true
                 recheckUnknown(now)
+                startRead()
             }
         }
     }
@@ -154,15 +154,17 @@
 
     /** Lets time go on. [peers] are live hosts; [writesSnapshots] tells whether that duty falls to this host now. */
     fun onTick(peers: List<PeerRevision>, writesSnapshots: Boolean, now: Long): List<KeeperEffect> = run {
-        if (!reading && now >= nextReadMs) {
-            reading = true
-            effects += KeeperEffect.Read(state.revision + 1, LONG_POLL_MS)
-        }
+        if (!reading && now >= nextReadMs) startRead()
         askPeer(peers, now)
         pending.values.toList().forEach { drive(it, now) }
         if (writesSnapshots) maybeSnapshot(now)
     }
 
+    private fun startRead() {
+        reading = true
+        effects += KeeperEffect.Read(state.revision + 1, LOG_WAIT_MS)
+    }
+
     private fun run(block: () -> Unit): List<KeeperEffect> {
         block()
         val out = effects.toList()
@@ -251,8 +253,8 @@
         val kept = end - floor
         val nearFloor = floor > 0 && covered < floor + kept / 2 && state.revision > covered
         val due = now - snapshotAtMs >= snapshotIntervalMs
-        val never = covered < 0 && state.revision + 1 >= RECENT_RECORDS
-        if (!nearFloor && !due && !never) return
+        val isLong = state.revision - covered >= RECENT_RECORDS
+        if (!nearFloor && !due && !isLong) return
         snapshotAtMs = now
         val id = "snapshot-$host-${snapshotCount++}"
         snapshotPending = id
--- a/src/main/kotlin/experiment/Caller.kt
+++ b/src/main/kotlin/experiment/Caller.kt
@@ -189,11 +189,8 @@
         val isShort = text.length < expected.text.length && expected.text.startsWith(text)
         val ending = when {
             isShort -> Ending.CUT
-
             text != expected.text || answer.output != expected.output -> Ending.CROSSED
-
             elapsedMs() > deadlineMs -> Ending.LATE
-
             else -> Ending.ATTAINED
         }
         end(ending, "")
--- a/src/main/kotlin/experiment/HistoryChecker.kt
+++ b/src/main/kotlin/experiment/HistoryChecker.kt
@@ -67,6 +67,9 @@
     val untrueNotRun: Int = 0,
 ) {
     val total: Int get() = lost + doubled + crossed + cut + untrueNotRun
+
+    /** Returns the breaches on one line for people. */
+    fun summary(): String = "lost $lost, doubled $doubled, crossed $crossed, cut $cut, untrue not run $untrueNotRun"
 }
 
 /** Collects runs and calls and finds breaches. Thread-safe. */
--- a/src/main/kotlin/host/ClaimAdapter.kt
+++ b/src/main/kotlin/host/ClaimAdapter.kt
@@ -11,10 +11,9 @@
 import org.sesamerouter.log.LogStream
 import org.sesamerouter.log.PlatformLog
 import org.sesamerouter.log.ReadOutcome
+import org.sesamerouter.log.StreamReader
 import org.sesamerouter.pipeline.RequestEvent
 
-private const val LONG_POLL_MS = 1_000L
-private const val READ_RETRY_MS = 200L
 private const val CLAIM_PATIENCE_MS = 3_000L
 private const val MAX_BATCH = 500
 
@@ -29,8 +28,8 @@
     private val queued = ArrayDeque<ClaimRecord>()
     private val unresolved = LinkedHashMap<String, Long>()
     private var appending = false
-    private var reading = false
-    private var nextReadMs = Long.MIN_VALUE
+    private val reader =
+        StreamReader(log, LogStream.CLAIMS, clock, loop::post, { ledger.claimsRevision + 1 }, ::onRecords)
 
     /** Appends so far. */
     var appends = 0L
@@ -45,8 +44,8 @@
 
     /** Reads on and gives up claims that were not read back in time. */
     fun onTick() {
+        reader.onTick()
         val now = clock.nowMs()
-        if (!reading && now >= nextReadMs) read()
         val late = unresolved.filterValues { it <= now }.keys.toList()
         late.forEach(::fail)
     }
@@ -70,22 +69,9 @@
         if (unresolved.remove(id) != null) onEvent(RequestEvent.ClaimFailed(id))
     }
 
-    private fun read() {
-        reading = true
-        log.read(LogStream.CLAIMS, ledger.claimsRevision + 1, LONG_POLL_MS) { outcome -> loop.post { onRead(outcome) } }
-    }
-
-    private fun onRead(outcome: ReadOutcome) {
-        reading = false
-        when (outcome) {
-            is ReadOutcome.Unavailable -> nextReadMs = clock.nowMs() + READ_RETRY_MS
-
-            is ReadOutcome.Records -> {
-                outcome.records.forEach { fold(it.offset, it.payload) }
-                ledger.dropClaimsBelow(outcome.floor)
-                read()
-            }
-        }
+    private fun onRecords(read: ReadOutcome.Records) {
+        read.records.forEach { fold(it.offset, it.payload) }
+        ledger.dropClaimsBelow(read.floor)
     }
 
     private fun fold(offset: Long, payload: String) {
--- a/src/main/kotlin/host/EntryHost.kt
+++ b/src/main/kotlin/host/EntryHost.kt
@@ -40,8 +40,8 @@
 import java.util.concurrent.CompletableFuture
 import java.util.random.RandomGenerator
 
-private const val TICK_MS = 5L
-private const val VIEW_EVERY_TICKS = 10
+private const val TICK_MS = 20L
+private const val SLOW_EVERY_TICKS = 5
 private const val DRAIN_POLL_MS = 20L
 private const val DRAIN_LONGEST_MS = 600_000L
 private const val CLOSE_PATIENCE_MS = 5_000L
@@ -82,7 +82,8 @@
     internal lateinit var peers: PeerAdapter
     private lateinit var targets: TargetAdapter
     private lateinit var server: HttpServer
-    private val policy = if (options.naive) ServingPolicy.NAIVE else options.policy
+    private val policy = (if (options.naive) ServingPolicy.NAIVE else options.policy)
+        .copy(keyLifetimeMs = settings.timing.keyLifetimeMs)
     private val isNaive = options.naive
     private var ticks = 0L
     private var nextEpochMs = clock.nowMs() + settings.timing.epochMs
@@ -139,7 +140,10 @@
         }
         Thread.sleep(settings.timing.addressLifetimeMs)
         awaitDrained()
-        onLoop { membership.updateSelf(spread = true) { it.copy(status = MemberStatus.LEFT) } }
+        onLoop {
+            peers.handOver(ledger.export())
+            membership.updateSelf(spread = true) { it.copy(status = MemberStatus.LEFT) }
+        }
         Thread.sleep(settings.timing.probeIntervalMs * 2)
         awaitDrained()
         server.closeAfterWrites(CLOSE_PATIENCE_MS)
@@ -201,9 +205,9 @@
     private fun tick() {
         val now = clock.nowMs()
         ticks++
-        traffic.handle(RequestEvent.Tick)
+        if (coordinator.inProgress > 0) traffic.handle(RequestEvent.Tick)
         membership.onTick(now).forEach(link::sendProbe)
-        if (ticks % VIEW_EVERY_TICKS == 0L) slowTick(now)
+        if (ticks % SLOW_EVERY_TICKS == 0L) slowTick(now)
     }
 
     private fun slowTick(now: Long) {
--- a/src/main/kotlin/host/PeerAdapter.kt
+++ b/src/main/kotlin/host/PeerAdapter.kt
@@ -4,6 +4,7 @@
 package org.sesamerouter.host
 
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
 import org.sesamerouter.api.OutcomeAnswer
 import org.sesamerouter.api.Refusal
 import org.sesamerouter.api.RunAnswer
@@ -24,6 +25,8 @@
 
 private const val SHARE_TIMEOUT_MS = 1_000L
 private const val SHARE_FANOUT = 32
+private const val OUTCOMES_PER_FRAME = 1_000
+private val OUTCOMES = ListSerializer(OutcomeAnswer.serializer())
 
 internal class PeerAdapter(private val host: EntryHost, private val clock: Clock) :
     PeerHandler,
@@ -44,15 +47,29 @@
                 request.notices.forEach { host.serving.quarantine.onDeath(it, clock.nowMs()) }
                 reply(PeerReply.Taken)
             }
+
+            is PeerRequest.Inherit -> {
+                host.ledger.inherit(WireJson.decodeFromString(OUTCOMES, request.outcomes))
+                reply(PeerReply.Taken)
+            }
         }
     }
 
+    /** Hands [outcomes] to the other hosts, which answer for them once this host is gone. */
+    fun handOver(outcomes: List<OutcomeAnswer>) {
+        for (part in outcomes.chunked(OUTCOMES_PER_FRAME)) {
+            val request = PeerRequest.Inherit(WireJson.encodeToString(OUTCOMES, part))
+            others().forEach { host.link.request(it.peer, request, SHARE_TIMEOUT_MS) {} }
+        }
+    }
+
+    private fun others() = host.membership.live().filter { it.host != host.membership.self.host }.take(SHARE_FANOUT)
+
     override fun appendClaim(claim: ClaimRecord) = host.claims.append(claim)
 
     /** Tells the other hosts directly: the caller may send the request to any of them within milliseconds. */
     override fun shareDeath(notice: DeathNotice) {
-        val others = host.membership.live().filter { it.host != host.membership.self.host }.take(SHARE_FANOUT)
-        others.forEach { host.link.request(it.peer, PeerRequest.Deaths(listOf(notice)), SHARE_TIMEOUT_MS) {} }
+        others().forEach { host.link.request(it.peer, PeerRequest.Deaths(listOf(notice)), SHARE_TIMEOUT_MS) {} }
     }
 
     override fun ask(
--- a/src/main/kotlin/host/TargetAdapter.kt
+++ b/src/main/kotlin/host/TargetAdapter.kt
@@ -10,6 +10,7 @@
 import org.sesamerouter.log.LogStream
 import org.sesamerouter.log.PlatformLog
 import org.sesamerouter.log.ReadOutcome
+import org.sesamerouter.log.StreamReader
 import org.sesamerouter.membership.HOST_LIST_PATH
 import org.sesamerouter.membership.ListedHosts
 import org.sesamerouter.orders.LeaseRecord
@@ -23,8 +24,6 @@
 
 private const val LIST_TIMEOUT_MS = 1_000L
 private const val ORDER_TIMEOUT_MS = 1_000L
-private const val LONG_POLL_MS = 1_000L
-private const val READ_RETRY_MS = 200L
 private const val POLLED_TARGETS = 24
 private const val POLL_BYTES = 500
 private const val POLL_BYTES_PER_SECOND = 2_048
@@ -33,15 +32,15 @@
     private val timing = host.settings.timing
     private var nextPollMs = 0L
     private var nextListMs = 0L
-    private var nextLeaseReadMs = 0L
-    private var readingLeases = false
+    private val leases =
+        StreamReader(log, LogStream.LEASES, clock, host.loop::post, { host.orders.leasesRevision + 1 }, ::onLeases)
 
     /** Lets time go on. */
     fun onTick() {
         val now = clock.nowMs()
         if (now >= nextPollMs) pollLoads(now)
         if (now >= nextListMs && host.settings.platform.hostList.isNotEmpty()) pollHostList(now)
-        if (!readingLeases && now >= nextLeaseReadMs) readLeases()
+        leases.onTick()
         val live = host.membership.live().map { it.host }
         host.orders.onTick(live, now).forEach(::carryOut)
     }
@@ -90,20 +89,9 @@
         host.membership.setSeeds((host.settings.platform.peers + entries).distinct())
     }
 
-    private fun readLeases() {
-        readingLeases = true
-        log.read(LogStream.LEASES, host.orders.leasesRevision + 1, LONG_POLL_MS) { outcome ->
-            host.loop.post {
-                readingLeases = false
-                val now = clock.nowMs()
-                when (outcome) {
-                    is ReadOutcome.Unavailable -> nextLeaseReadMs = now + READ_RETRY_MS
-
-                    is ReadOutcome.Records ->
-                        outcome.records.forEach { host.orders.onLeaseRecord(it.offset, it.payload, now) }
-                }
-            }
-        }
+    private fun onLeases(read: ReadOutcome.Records) {
+        val now = clock.nowMs()
+        read.records.forEach { host.orders.onLeaseRecord(it.offset, it.payload, now) }
     }
 
     private fun carryOut(effect: OrderEffect) {
--- a/src/main/kotlin/ledger/Ledger.kt
+++ b/src/main/kotlin/ledger/Ledger.kt
@@ -61,6 +61,7 @@
  */
 class Ledger(private val self: Holder, private val capacity: Int = 200_000) {
     private val entries = LinkedHashMap<String, LedgerEntry>()
+    private val inherited = LinkedHashMap<String, OutcomeAnswer>()
     private val claims = LinkedHashMap<String, ClaimRecord>()
     private val claimOffsets = ArrayDeque<ClaimOffset>()
     private var claimCount = 0L
@@ -88,7 +89,7 @@
         return when {
             home == self -> beginAtHome(key, fingerprint, ticket.epoch)
             isLive(home) -> LedgerDecision.Forward(home)
-            else -> LedgerDecision.Refuse(homeGone(key))
+            else -> inheritedOr(key)
         }
     }
 
@@ -129,7 +130,7 @@
 
     /** Returns what is known of [key], or null when this host does not hold it. */
     fun outcome(key: String): OutcomeAnswer? {
-        val entry = entries[key] ?: return null
+        val entry = entries[key] ?: return inherited[key]
         return when (entry.state) {
             EntryState.DONE -> OutcomeAnswer(key, OutcomeState.DONE, answer = entry.answer)
             EntryState.FAILED -> OutcomeAnswer(key, OutcomeState.REFUSED, refusal = entry.refusal)
@@ -137,6 +138,16 @@
         }
     }
 
+    /** Returns the outcomes of all requests that ended here, to be handed to other hosts before this one stops. */
+    fun export(): List<OutcomeAnswer> =
+        entries.filterValues { it.state == EntryState.DONE || it.state == EntryState.FAILED }.keys.mapNotNull(::outcome)
+
+    /** Keeps [outcomes] of a host that stops; beyond the capacity the oldest are dropped and become unknown. */
+    fun inherit(outcomes: List<OutcomeAnswer>) {
+        outcomes.forEach { inherited[it.key] = it }
+        while (inherited.size > capacity) inherited.remove(inherited.keys.first())
+    }
+
     /** Returns who holds [key] by ticket or claim, or null when nobody is known to. */
     fun holderOf(key: String): Holder? = ticketOf(key)?.let { Holder(it.host, it.incarnation) } ?: claims[key]?.holder
 
@@ -185,10 +196,17 @@
             holder == null -> admit(key, fingerprint) { entry -> startClaim(key, entry) }
             holder == self -> admit(key, fingerprint) { LedgerDecision.Run }
             isLive(holder) -> LedgerDecision.Forward(holder)
-            else -> LedgerDecision.Refuse(homeGone(key))
+            else -> inheritedOr(key)
         }
     }
 
+    /** What a host that stopped as planned handed over; of any other key the outcome is unknown. */
+    private fun inheritedOr(key: String): LedgerDecision {
+        val outcome = inherited[key] ?: return LedgerDecision.Refuse(homeGone(key))
+        outcome.answer?.let { return LedgerDecision.Replay(it) }
+        return LedgerDecision.Refuse(outcome.refusal ?: homeGone(key))
+    }
+
     private fun startClaim(key: String, entry: LedgerEntry): LedgerDecision {
         val id = "${self.host}-${self.incarnation.toString(36)}-${claimCount++}"
         entry.state = EntryState.CLAIMING
--- a/src/main/kotlin/log/PlatformLog.kt
+++ b/src/main/kotlin/log/PlatformLog.kt
@@ -4,6 +4,12 @@
  */
 package org.sesamerouter.log
 
+/** How long a read waits for a record: fewer reads of an idle stream, and no later news. */
+const val LOG_WAIT_MS = 5_000L
+
+/** Pause before the next read of a log that did not answer. */
+const val LOG_RETRY_MS = 200L
+
 /** Streams that the product keeps in the platform's log. */
 enum class LogStream(val path: String) {
     CONFIGURATION("configuration"),
--- a/src/main/kotlin/membership/PeerMessages.kt
+++ b/src/main/kotlin/membership/PeerMessages.kt
@@ -33,6 +33,11 @@
     @Serializable
     @SerialName("deaths")
     data class Deaths(val notices: List<DeathNotice>) : PeerRequest
+
+    /** Hands over [outcomes], a JSON list, of keys that the sender held and that stops now. */
+    @Serializable
+    @SerialName("inherit")
+    data class Inherit(val outcomes: String) : PeerRequest
 }
 
 /** The answer to a [PeerRequest]. */
--- a/src/main/kotlin/pipeline/RequestCoordinator.kt
+++ b/src/main/kotlin/pipeline/RequestCoordinator.kt
@@ -76,6 +76,7 @@
     private val isLive: (Holder) -> Boolean = { false },
 ) {
     private val requests = LinkedHashMap<String, RequestState>()
+    private val inProgressOf = HashMap<String, Int>()
     private val queues = HashMap<String, PoolQueues>()
     private val retryBudget = Budget(policy.retryShare, burst = 20.0)
     private val hedgeBudget = Budget(policy.hedgeShare, burst = 10.0)
@@ -189,7 +190,7 @@
             is LedgerDecision.Claim -> {
                 request.phase = Phase.CLAIMING
                 request.claimId = decision.claim.id
-                requests[request.id] = request
+                keep(request)
                 effects += RequestEffect.AppendClaim(decision.claim)
             }
         }
@@ -211,7 +212,7 @@
     private fun onClaimFolded(event: RequestEvent.ClaimFolded, now: Long) {
         val request = requests.values.firstOrNull { it.claimId == event.claimId } ?: return
         if (request.phase != Phase.CLAIMING) return
-        requests.remove(request.id)
+        drop(request)
         when {
             state.ledger.outcome(request.call.key) != null -> admit(request, Int.MAX_VALUE, now)
 
@@ -226,7 +227,7 @@
         val request = requests.values.firstOrNull { it.claimId == event.claimId } ?: return
         if (request.phase != Phase.CLAIMING) return
         state.ledger.notRun(request.call.key)
-        requests.remove(request.id)
+        drop(request)
         val remedy = "the platform's log does not answer; use a key that starts with a ticket, or send again later"
         refuseArrival(request.id, notRun(request.id, RefusalReason.LOG_UNAVAILABLE, remedy, LOG_RETRY_MS))
     }
@@ -240,7 +241,7 @@
         }
         retryBudget.earn()
         hedgeBudget.earn()
-        requests[request.id] = request
+        keep(request)
         request.gate.work.forEach { work ->
             state.gate.commit(request.gate, work, now)
             request.committed.addLast(work)
@@ -256,9 +257,7 @@
             return notRun(request.id, RefusalReason.QUARANTINED, remedy, retryMs)
         }
         val organisation = request.call.organisation
-        if (maxInProgress != Int.MAX_VALUE &&
-            requests.values.count { it.call.organisation == organisation } >= maxInProgress
-        ) {
+        if ((inProgressOf[organisation] ?: 0) >= maxInProgress) {
             val remedy = "the organisation has $maxInProgress requests in progress here; send later or raise the limit"
             return notRun(request.id, RefusalReason.ORGANISATION_LIMIT, remedy, MIN_RETRY_MS)
         }
@@ -416,7 +415,7 @@
         val answer = RunAnswer(request.id, event.output, event.text, event.tokens)
         state.quarantine.onSuccess(request.fingerprint, now)
         request.ledgerKey?.let { state.ledger.done(it, answer) }
-        requests.remove(request.id)
+        drop(request)
         state.gate.onEnd(request.plan.rank, inTime = now <= request.deadlineMs)
         if (request.answered) return
         counts = counts.copy(answered = counts.answered + 1)
@@ -617,7 +616,7 @@
 
     /** Ends [request] for good: cancels what runs, frees what it holds and gives the caller [refusal]. */
     private fun finish(request: RequestState, refusal: Refusal?, now: Long) {
-        requests.remove(request.id)
+        drop(request)
         queues[request.stage.pool]?.remove(request.id)
         if (refusal?.reason in MISSES) state.gate.onEnd(request.plan.rank, inTime = false)
         request.attempts.forEach { attempt ->
@@ -635,6 +634,16 @@
         effects += RequestEffect.Refuse(request.id, refusal)
     }
 
+    private fun keep(request: RequestState) {
+        requests[request.id] = request
+        inProgressOf.merge(request.call.organisation, 1, Int::plus)
+    }
+
+    private fun drop(request: RequestState) {
+        if (requests.remove(request.id) == null) return
+        inProgressOf.computeIfPresent(request.call.organisation) { _, count -> if (count > 1) count - 1 else null }
+    }
+
     private fun refuseArrival(request: String, refusal: Refusal) {
         counts = counts.copy(refused = counts.refused + 1)
         effects += RequestEffect.Refuse(request, refusal)
--- a/src/main/kotlin/routing/TargetTable.kt
+++ b/src/main/kotlin/routing/TargetTable.kt
@@ -55,6 +55,8 @@
 
 /** The targets of one pool. */
 class PoolState internal constructor(val name: String, val spec: PoolSpec, val targets: List<TargetState>) {
+    internal val byKey: Map<TargetKey, TargetState> = targets.associateBy { it.key }
+
     /** Returns the targets that may get new work at [now]. */
     fun usable(now: Long): List<TargetState> = targets.filter { !it.leaving && it.ejectedUntilMs <= now }
 
@@ -93,7 +95,7 @@
     fun pool(name: String): PoolState? = pools[name]
 
     /** Returns the target [key]. */
-    fun target(key: TargetKey): TargetState? = pools[key.pool]?.targets?.firstOrNull { it.key == key }
+    fun target(key: TargetKey): TargetState? = pools[key.pool]?.byKey?.get(key)
 
     /** Returns all pools. */
     fun all(): Collection<PoolState> = pools.values
--- a/src/main/kotlin/settings/Settings.kt
+++ b/src/main/kotlin/settings/Settings.kt
@@ -90,31 +90,43 @@
 private fun parseFault(e: Exception) =
     SpecFault("settings", e.message.orEmpty().lineSequence().first(), "correct the key, see docs/SETTINGS.md")
 
-private fun Settings.faults(): List<SpecFault> = listOfNotNull(
-    nameFault("host.id", host.id),
-    nameFault("host.data_centre", host.dataCentre),
-    addressFault("listen.http", listen.http),
-    addressFault("listen.peer", listen.peer),
-    rangeFault("listen.traffic_threads", listen.trafficThreads.toLong(), 1L..64L),
-    addressFault("platform.log", platform.log),
-    platform.hostList.takeIf { it.isNotEmpty() }?.let { addressFault("platform.host_list", it) },
-    rangeFault("limits.max_body_bytes", limits.maxBodyBytes.toLong(), 1_024L..67_108_864L),
-    rangeFault("limits.max_answer_bytes", limits.maxAnswerBytes.toLong(), 1_024L..268_435_456L),
-    rangeFault("limits.max_keys", limits.maxKeys.toLong(), 1L..10_000_000L),
-    rangeFault("limits.max_suspects", limits.maxSuspects.toLong(), 1L..1_000_000L),
-    rangeFault("timing.address_lifetime_ms", timing.addressLifetimeMs, 0L..600_000L),
-    rangeFault("timing.probe_interval_ms", timing.probeIntervalMs, 20L..60_000L),
-    rangeFault("timing.load_poll_ms", timing.loadPollMs, 20L..60_000L),
-    rangeFault("timing.host_list_poll_ms", timing.hostListPollMs, 20L..60_000L),
-    rangeFault("timing.epoch_ms", timing.epochMs, 1_000L..86_400_000L),
-    rangeFault("timing.snapshot_interval_ms", timing.snapshotIntervalMs, 1_000L..86_400_000L),
-    rangeFault("timing.isolated_refusal_ms", timing.isolatedRefusalMs, 1_000L..3_600_000L),
-    rangeFault("timing.quarantine_ms", timing.quarantineMs, 1_000L..86_400_000L),
-    rangeFault("timing.key_lifetime_ms", timing.keyLifetimeMs, 1_000L..86_400_000L),
-    rangeFault("timing.lease_ms", timing.leaseMs, 1_000L..600_000L),
-    choiceFault("logs.format", logs.format, listOf("text", "json")),
-    choiceFault("logs.level", logs.level, listOf("debug", "info", "warn", "error")),
-) + platform.peers.mapIndexedNotNull { i, peer -> addressFault("platform.peers[$i]", peer) }
+/** A setting that is a number, with its bounds. */
+internal class NumberSetting(val path: String, val range: LongRange, val read: (Settings) -> Long)
+
+internal val NUMBER_SETTINGS: List<NumberSetting> = listOf(
+    NumberSetting("listen.traffic_threads", 1L..64L) { it.listen.trafficThreads.toLong() },
+    NumberSetting("limits.max_body_bytes", 1_024L..67_108_864L) { it.limits.maxBodyBytes.toLong() },
+    NumberSetting("limits.max_answer_bytes", 1_024L..268_435_456L) { it.limits.maxAnswerBytes.toLong() },
+    NumberSetting("limits.max_keys", 1L..10_000_000L) { it.limits.maxKeys.toLong() },
+    NumberSetting("limits.max_suspects", 1L..1_000_000L) { it.limits.maxSuspects.toLong() },
+    NumberSetting("timing.address_lifetime_ms", 0L..600_000L) { it.timing.addressLifetimeMs },
+    NumberSetting("timing.probe_interval_ms", 20L..60_000L) { it.timing.probeIntervalMs },
+    NumberSetting("timing.load_poll_ms", 20L..60_000L) { it.timing.loadPollMs },
+    NumberSetting("timing.host_list_poll_ms", 20L..60_000L) { it.timing.hostListPollMs },
+    NumberSetting("timing.epoch_ms", 1_000L..86_400_000L) { it.timing.epochMs },
+    NumberSetting("timing.snapshot_interval_ms", 1_000L..86_400_000L) { it.timing.snapshotIntervalMs },
+    NumberSetting("timing.isolated_refusal_ms", 1_000L..3_600_000L) { it.timing.isolatedRefusalMs },
+    NumberSetting("timing.quarantine_ms", 1_000L..86_400_000L) { it.timing.quarantineMs },
+    NumberSetting("timing.key_lifetime_ms", 1_000L..86_400_000L) { it.timing.keyLifetimeMs },
+    NumberSetting("timing.lease_ms", 1_000L..600_000L) { it.timing.leaseMs },
+)
+
+private fun Settings.faults(): List<SpecFault> {
+    val names = listOfNotNull(nameFault("host.id", host.id), nameFault("host.data_centre", host.dataCentre))
+    val numbers = NUMBER_SETTINGS.mapNotNull { rangeFault(it.path, it.read(this), it.range) }
+    val choices = listOfNotNull(
+        choiceFault("logs.format", logs.format, listOf("text", "json")),
+        choiceFault("logs.level", logs.level, listOf("debug", "info", "warn", "error")),
+    )
+    return names + addressFaults() + numbers + choices
+}
+
+private fun Settings.addressFaults(): List<SpecFault> {
+    val needed = listOf("listen.http" to listen.http, "listen.peer" to listen.peer, "platform.log" to platform.log)
+    val given = listOf("platform.host_list" to platform.hostList).filter { it.second.isNotEmpty() }
+    val peers = platform.peers.mapIndexed { i, peer -> "platform.peers[$i]" to peer }
+    return (needed + given + peers).mapNotNull { (path, address) -> addressFault(path, address) }
+}
 
 private fun nameFault(path: String, name: String): SpecFault? {
     if (name.isNotEmpty() && name.all { it.isLetterOrDigit() || it == '-' }) return null
--- a/src/main/kotlin/standin/TargetStandin.kt
+++ b/src/main/kotlin/standin/TargetStandin.kt
@@ -63,7 +63,12 @@
     val networkMs: Long = 0,
 )
 
+/** Path at which a target stand-in tells its runs, a [RunRecord] a line. */
+const val RUNS_PATH = "/v1/runs"
+private const val KEPT_RUNS = 200_000
+
 /** One run as the target saw it, for checking histories. */
+@Serializable
 data class RunRecord(val request: String, val attempt: Int, val operation: String, val input: JsonElement)
 
 /** A target on loopback. [onRun] hears of every run that starts. */
@@ -77,6 +82,7 @@
     private val starts = AtomicLong()
     private val waiting = ArrayDeque<Work>()
     private val prefixes = LinkedHashSet<String>()
+    private val runs = ArrayDeque<RunRecord>()
     private var running = 0
     private var server: HttpServer
     private var highestFence = -1L
@@ -163,10 +169,17 @@
             TargetPaths.LOAD -> call.reply(200, WireJson.encodeToString(LoadReport.serializer(), load()))
             TargetPaths.RUN -> accept(call)
             TargetPaths.ORDERS -> order(call)
+            RUNS_PATH -> tellRuns(call)
             else -> call.reply(404, "{}")
         }
     }
 
+    @Synchronized
+    private fun tellRuns(call: HttpCall) {
+        val lines = runs.joinToString("\n") { WireJson.encodeToString(RunRecord.serializer(), it) }
+        call.reply(200, lines, "application/x-ndjson")
+    }
+
     @Synchronized
     private fun order(call: HttpCall) {
         val order = WireJson.decodeFromString(EngineOrder.serializer(), call.body)
@@ -204,7 +217,10 @@
 
     private fun start(work: Work) {
         running++
-        onRun(RunRecord(work.run.request, work.run.attempt, work.run.operation, work.run.input))
+        val record = RunRecord(work.run.request, work.run.attempt, work.run.operation, work.run.input)
+        runs.addLast(record)
+        if (runs.size > KEPT_RUNS) runs.removeFirst()
+        onRun(record)
         val ms = work.run.input.member("work_ms")?.toLongOrNull() ?: behaviour.serviceMs
         val hit = behaviour.cachesPrefixes && touchPrefix(work.run.input.toString().take(PREFIX_CHARS))
         val jitter = 0.8 + 0.4 * ThreadLocalRandom.current().nextDouble()
--- a/src/main/kotlin/web/HttpServer.kt
+++ b/src/main/kotlin/web/HttpServer.kt
@@ -110,11 +110,6 @@
     /** The port that the system gave. */
     val port: Int get() = (listening.localAddress() as InetSocketAddress).port
 
-    /** Stops accepting connections; those that are open stay. */
-    fun stopAccepting() {
-        listening.close().syncUninterruptibly()
-    }
-
     /** Closes the server and each connection after what was written to it has left, within [patienceMs]. */
     fun closeAfterWrites(patienceMs: Long) {
         listening.close().syncUninterruptibly()
--- a/src/test/kotlin/experiment/WholePathSpec.kt
+++ b/src/test/kotlin/experiment/WholePathSpec.kt
@@ -8,6 +8,9 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.sesamerouter.configuration.ResourceKind
 import kotlin.concurrent.thread
 
 private const val SEED = 71L
@@ -56,7 +59,7 @@
         }
 
         test(
-            "a log that loses replies, then is down, breaches nothing, and keys of callers' own making run at most once",
+            "a log that loses replies, then is down, breaches nothing, and callers' own keys run at most once",
         ) {
             val ownKeys = { call: PlannedCall, place: Int -> if (place % 2 == 0) call.copy(ownKey = true) else call }
             val checker = runWithFaults(tweak = ownKeys) { deployment ->
@@ -82,6 +85,33 @@
                 emptyList()
         }
 
+        test(
+            "a host that starts alone and empty rebuilds from what the log kept, or from a peer while the log is down",
+        ) {
+            val options = DeploymentOptions(hosts = 2, seed = SEED, slotShare = 0.25)
+            Deployment(readExample("krakow"), options).use { deployment ->
+                deployment.apply()
+                deployment.log.behaviour = deployment.log.behaviour.copy(retained = 400)
+                val organisation = deployment.example.declarations.first { it.kind == ResourceKind.ORGANISATION }
+                repeat(500) {
+                    val spec = JsonObject(mapOf("weight" to JsonPrimitive(1 + it % 9)))
+                    deployment.put(organisation.copy(spec = spec)) shouldBe 200
+                }
+                deployment.awaitSettled()
+                val before = deployment.hosts.first().dump().configuration
+                deployment.hosts.forEach(deployment::kill)
+                deployment.startHost(0)
+                deployment.awaitReady()
+                val rebuilt = deployment.hosts.single().dump().configuration
+                rebuilt.resources shouldBe before.resources
+                (rebuilt.revision >= before.revision) shouldBe true
+                deployment.log.behaviour = deployment.log.behaviour.copy(down = true)
+                deployment.startHost(1)
+                deployment.awaitReady()
+                deployment.hosts.last().dump().configuration.resources shouldBe before.resources
+            }
+        }
+
         test("a request that crashes its targets takes at most two, however often it is sent again") {
             var deaths = 0
             val poison = { call: PlannedCall, place: Int ->
--- a/src/test/kotlin/ledger/LedgerSpec.kt
+++ b/src/test/kotlin/ledger/LedgerSpec.kt
@@ -162,6 +162,20 @@
             decision.refusal.kind shouldBe RefusalKind.FAILED
         }
 
+        test("what a stopped host handed over is replayed elsewhere, and its other keys are unknown") {
+            val stopped = Ledger(Holder("h0", 7))
+            val ticket = Ticket("h0", 7, 0, "n").toString()
+            stopped.begin("$ticket/1", "c") { true }
+            stopped.dispatch("$ticket/1")
+            stopped.done("$ticket/1", RunAnswer("r", JsonPrimitive(5)))
+            val other = Ledger(Holder("h1", 9))
+            other.inherit(stopped.export())
+            val replay = other.begin("$ticket/1", "c") { false }.shouldBeInstanceOf<LedgerDecision.Replay>()
+            replay.answer.output shouldBe JsonPrimitive(5)
+            val refused = other.begin("$ticket/2", "c") { false }.shouldBeInstanceOf<LedgerDecision.Refuse>()
+            refused.refusal.kind shouldBe RefusalKind.OUTCOME_UNKNOWN
+        }
+
         test("a full ledger refuses new keys instead of forgetting old ones") {
             val ledger = Ledger(Holder("h0", 7), capacity = 1)
             val ticket = Ticket("h0", 7, 0, "n").toString()
--- /dev/null
+++ b/src/test/kotlin/location/HostChooserSpec.kt
@@ -0,0 +1,46 @@
+/*
+ * Address answers name only hosts that take work, near the caller where there are such.
+ */
+package org.sesamerouter.location
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import org.sesamerouter.histories
+import org.sesamerouter.membership.Member
+import org.sesamerouter.membership.MemberStatus
+import java.util.Random
+
+private fun member(index: Int, bits: Int) = Member(
+    "h$index",
+    1,
+    0,
+    MemberStatus.entries[bits % 4],
+    peer = "",
+    http = "",
+    dataCentre = "dc-${bits / 4 % 3}",
+    ready = bits / 16 % 4 != 0,
+    leaving = bits / 64 % 4 == 0,
+    inProgress = bits % 10,
+)
+
+class HostChooserSpec :
+    FunSpec({
+        test("names a host exactly when one takes work, and a near one when there is one") {
+            checkAll(histories(seed = 95), Arb.list(Arb.int(0..999), 0..8)) { bits ->
+                val members = bits.mapIndexed(::member)
+                val open = members.filter { it.status == MemberStatus.ALIVE && it.ready && !it.leaving }
+                val chosen = chooseHost(members, "dc-1", Random(1))
+                if (open.isEmpty()) {
+                    chosen.shouldBeNull()
+                } else {
+                    (chosen in open) shouldBe true
+                    if (open.any { it.dataCentre == "dc-1" }) chosen?.dataCentre shouldBe "dc-1"
+                }
+            }
+        }
+    })
--- /dev/null
+++ b/src/test/kotlin/membership/PeerLinkSpec.kt
@@ -0,0 +1,88 @@
+/*
+ * The link between hosts against garbage, truncated and oversized frames, and peers that are not there.
+ */
+package org.sesamerouter.membership
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import java.net.DatagramPacket
+import java.net.DatagramSocket
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration.Companion.seconds
+
+private const val TIMEOUT_MS = 5_000L
+
+private object EchoHandler : PeerHandler {
+    override fun onProbe(message: ProbeMessage, from: String) = Unit
+
+    override fun onRequest(request: PeerRequest, reply: (PeerReply) -> Unit) {
+        if (request is PeerRequest.Outcome) reply(PeerReply.Outcome(request.key)) else reply(PeerReply.Taken)
+    }
+}
+
+class PeerLinkSpec :
+    FunSpec({
+        val one = PeerLink("127.0.0.1:0").also { it.start(EchoHandler) }
+        val two = PeerLink("127.0.0.1:0").also { it.start(EchoHandler) }
+
+        afterSpec {
+            one.close()
+            two.close()
+        }
+
+        fun ask(to: String, request: PeerRequest): PeerOutcome {
+            val future = CompletableFuture<PeerOutcome>()
+            one.request(to, request, TIMEOUT_MS, future::complete)
+            return future.get()
+        }
+
+        fun port(link: PeerLink) = link.address.substringAfter(':').toInt()
+
+        test("many requests at a time get their own replies") {
+            val futures = List(200) { i ->
+                CompletableFuture<PeerOutcome>().also {
+                    one.request(two.address, PeerRequest.Outcome("k$i"), TIMEOUT_MS, it::complete)
+                }
+            }
+            futures.forEachIndexed { i, future ->
+                future.get() shouldBe PeerOutcome.Replied(PeerReply.Outcome("k$i"))
+            }
+        }
+
+        test("a bad version, an oversized frame and a body of garbage close that connection, count, and nothing else") {
+            val frames = listOf(
+                byteArrayOf(9, 0, 0, 0, 1, 1),
+                byteArrayOf(1, 127, 0, 0, 0),
+                byteArrayOf(1, 0, 0, 0, 3, 7, 7, 7),
+            )
+            for (frame in frames) {
+                Socket("127.0.0.1", port(two)).use { socket ->
+                    socket.getOutputStream().write(frame)
+                    socket.getInputStream().read() shouldBe -1
+                }
+            }
+            Socket("127.0.0.1", port(two)).use { it.getOutputStream().write(byteArrayOf(1, 0, 0)) }
+            two.counts().badFrames shouldBe frames.size.toLong()
+            ask(two.address, PeerRequest.Outcome("still here")).shouldBeInstanceOf<PeerOutcome.Replied>()
+        }
+
+        test("a datagram of garbage is counted and dropped") {
+            val before = two.counts().badFrames
+            DatagramSocket().use { socket ->
+                val bytes = ByteArray(50) { it.toByte() }
+                socket.send(DatagramPacket(bytes, bytes.size, InetAddress.getLoopbackAddress(), port(two)))
+            }
+            eventually(10.seconds) { two.counts().badFrames shouldBeGreaterThanOrEqual before + 1 }
+        }
+
+        test("a peer that is not there is told as 'never sent'") {
+            val closedPort = ServerSocket(0).use { it.localPort }
+            ask("127.0.0.1:$closedPort", PeerRequest.CatchUp(0)) shouldBe PeerOutcome.Failed(sent = false)
+        }
+    })
