--- a/src/test/kotlin/admission/AdmissionGateSpec.kt
+++ b/src/test/kotlin/admission/AdmissionGateSpec.kt
@@ -56,7 +56,7 @@
         }
 
         test(
-            "work of a lower rank does not hold up a higher one, and a rate of it that fills the slots holds up the rest",
+            "a lower rank does not hold up a higher one, but not the other way round",
         ) {
             val gate = AdmissionGate()
             repeat(100) { gate.commit(request("a", rank = 5), work, 0) }
