--- a/src/main/kotlin/cli/OperatorCommands.kt
+++ b/src/main/kotlin/cli/OperatorCommands.kt
@@ -15,6 +15,7 @@
 import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.ajalt.clikt.parameters.types.long
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
 import org.sesamerouter.api.PrettyJson
 import org.sesamerouter.api.WireJson
@@ -83,11 +84,23 @@
         statusCode = 2,
     )
 
+/** One line of what `apply` did: [state] is unchanged, accepted, refused, waiting or settled. */
+@Serializable
+internal data class ApplyLine(
+    val kind: ResourceKind,
+    val name: String,
+    val state: String,
+    val generation: Long = 0,
+    val revision: Long = 0,
+    val detail: String = "",
+)
+
 internal class ApplyCommand : CliktCommand("apply") {
     private val place by argument("DIR|FILE", help = "declarations").file(mustExist = true)
     private val host by option("--host", help = HOST_HELP).default(DEFAULT_HOST)
     private val author by option("--author", help = "who changes, shown with refusals").default("")
     private val wait by option("--wait", help = "end when every live host has the changes in force").flag()
+    private val output by option("--output", help = OUTPUT_HELP).choice("table", "json").default("table")
 
     override fun help(context: Context) = "Applies declarations; shows what was accepted and what was refused."
 
@@ -95,28 +108,37 @@
         val read = readDeclarations(place)
         if (read.faults.isNotEmpty()) throw faultsError(read.faults)
         OperatorClient(host).use { client ->
+            awaitReady(client)
             val refused = read.items.count { !apply(client, it) }
             if (wait) read.items.forEach { awaitSettled(client, it) }
             if (refused > 0) throw CliktError("$refused of ${read.items.size} refused", statusCode = REFUSED_STATUS)
         }
     }
 
+    /** A host that has just started reads the log first. */
+    private fun awaitReady(client: OperatorClient) {
+        val until = System.nanoTime() + SETTLE_LONGEST_MS * 1_000_000
+        while (client.call("GET", "/ready").status != OK) {
+            if (System.nanoTime() > until) throw CliktError("$host is not ready; pass another host, or see its dump")
+            Thread.sleep(SETTLE_POLL_MS)
+        }
+    }
+
     private fun apply(client: OperatorClient, item: Declaration): Boolean {
-        val label = "${item.kind.label}/${item.name}"
         val current = client.call("GET", pathOf(item))
         val known = if (current.status == OK) decodeResource(current.body) else null
         if (known != null && known.spec == item.spec) {
-            echo("$label unchanged at generation ${known.generation}")
+            show(ApplyLine(item.kind, item.name, "unchanged", known.generation, known.revision))
             return true
         }
         val body = PutBody(item.spec, item.generation ?: known?.generation ?: 0, author)
         val reply = client.call("PUT", pathOf(item), WireJson.encodeToString(PutBody.serializer(), body))
         if (reply.status != OK) {
-            echo("$label refused: ${refusedError(reply).message}", err = true)
+            show(ApplyLine(item.kind, item.name, "refused", detail = refusedError(reply).message.orEmpty()))
             return false
         }
         val accepted = WireJson.decodeFromString(ChangeAccepted.serializer(), reply.body)
-        echo("$label accepted as generation ${accepted.generation} at revision ${accepted.revision}")
+        show(ApplyLine(item.kind, item.name, "accepted", accepted.generation, accepted.revision))
         return true
     }
 
@@ -125,15 +147,23 @@
         while (true) {
             val reply = client.call("GET", pathOf(item))
             if (reply.status != OK) return
-            val status = decodeResource(reply.body).status
-            if (status.settled) break
-            if (System.nanoTime() > until) {
-                throw CliktError("${item.kind.label}/${item.name} waits for ${status.waitingFor}; look at those hosts")
-            }
-            echo("${item.kind.label}/${item.name} waits for ${status.waitingFor.joinToString()}")
+            val resource = decodeResource(reply.body)
+            val hosts = resource.status.waitingFor.joinToString()
+            val state = if (resource.status.settled) "settled" else "waiting"
+            show(ApplyLine(item.kind, item.name, state, resource.generation, resource.revision, hosts))
+            if (resource.status.settled) return
+            if (System.nanoTime() > until) throw CliktError("${item.name} waits for $hosts; look at those hosts")
             Thread.sleep(SETTLE_POLL_MS)
         }
-        echo("${item.kind.label}/${item.name} settled")
+    }
+
+    private fun show(line: ApplyLine) {
+        if (output == "json") {
+            echo(WireJson.encodeToString(ApplyLine.serializer(), line))
+        } else {
+            val numbers = if (line.generation > 0) "generation ${line.generation}, revision ${line.revision}" else ""
+            echo("%-14s %-24s %-10s %s %s".format(line.kind.label, line.name, line.state, numbers, line.detail))
+        }
     }
 
     private fun pathOf(item: Declaration) = "/v1/resources/${item.kind.label}/${item.name}"
--- a/src/main/kotlin/host/EntryHost.kt
+++ b/src/main/kotlin/host/EntryHost.kt
@@ -89,6 +89,11 @@
     private var nextEpochMs = clock.nowMs() + settings.timing.epochMs
     private var leaving = false
 
+    /** Whether every slice is in place. */
+    @Volatile
+    internal var isStarted = false
+        private set
+
     /** What any thread may read. */
     @Volatile
     internal lateinit var view: HostView
@@ -126,6 +131,7 @@
         claims = ClaimAdapter(loop, clock, log, ledger, traffic::handle)
         configuration = ConfigurationAdapter(this, clock, log)
         targets = TargetAdapter(this, clock, log)
+        isStarted = true
         loop.every(TICK_MS, ::tick)
         logger.info("host {} serves at {} and peers at {}", holder.host, httpAddress, link.address)
     }
--- a/src/main/kotlin/host/HostRoutes.kt
+++ b/src/main/kotlin/host/HostRoutes.kt
@@ -38,6 +38,11 @@
     fun handle(call: HttpCall) {
         val path = call.segments
         when {
+            !host.isStarted -> {
+                val remedy = "this host starts; ask for an address again"
+                refuse(call, Refusal(RefusalKind.NOT_RUN, RefusalReason.NOT_READY, remedy, OTHER_HOST_RETRY_MS))
+            }
+
             call.path == "/metrics" -> call.reply(OK, metrics.scrape(), "text/plain; version=0.0.4")
 
             call.path == "/live" -> call.reply(OK, "{}")
--- a/src/main/kotlin/host/PeerAdapter.kt
+++ b/src/main/kotlin/host/PeerAdapter.kt
@@ -31,11 +31,12 @@
 internal class PeerAdapter(private val host: EntryHost, private val clock: Clock) :
     PeerHandler,
     TrafficPeers {
-    override fun onProbe(message: ProbeMessage, from: String) = host.loop.post {
+    /** What comes before the host is put together is dropped: probes are sent again, and askers have timeouts. */
+    override fun onProbe(message: ProbeMessage, from: String) = whenStarted {
         host.membership.onMessage(message, from, clock.nowMs()).forEach(host.link::sendProbe)
     }
 
-    override fun onRequest(request: PeerRequest, reply: (PeerReply) -> Unit) = host.loop.post {
+    override fun onRequest(request: PeerRequest, reply: (PeerReply) -> Unit) = whenStarted {
         when (request) {
             is PeerRequest.CatchUp -> reply(catchUp(request.revision))
 
@@ -65,6 +66,10 @@
 
     private fun others() = host.membership.live().filter { it.host != host.membership.self.host }.take(SHARE_FANOUT)
 
+    private fun whenStarted(task: () -> Unit) {
+        if (host.isStarted) host.loop.post(task)
+    }
+
     override fun appendClaim(claim: ClaimRecord) = host.claims.append(claim)
 
     /** Tells the other hosts directly: the caller may send the request to any of them within milliseconds. */
