Say 'not run' only where the host can speak for all sends of the key

Change: a key made from a ticket serves idempotent requests as well. A host vouches for a key only when the ticket is its own, its epoch is still kept and no attempt ran under it; else the refusal is 'outcome unknown' and says that the request may be sent again. Callers of the load driver give every request such a key.

--- a/src/main/kotlin/experiment/Caller.kt
+++ b/src/main/kotlin/experiment/Caller.kt
@@ -135,14 +135,14 @@
 
     private fun again() {
         if (sends >= MAX_SENDS || elapsedMs() > deadlineMs) {
-            end(if (key.isEmpty()) Ending.FAILED else Ending.UNKNOWN, "no host answered")
+            end(if (plan.entry.once) Ending.UNKNOWN else Ending.FAILED, "no host answered")
         } else {
             context.timer.schedule({ ask(fresh = true) }, RESEND_MS, TimeUnit.MILLISECONDS)
         }
     }
 
     private fun send(address: AddressAnswer) {
-        if (plan.entry.once && key.isEmpty()) key = if (plan.ownKey) plan.id else "${address.ticket}/${plan.id}"
+        if (key.isEmpty()) key = if (plan.ownKey) plan.id else "${address.ticket}/${plan.id}"
         val left = maxOf(1, deadlineMs - elapsedMs().toLong())
         val call = RunCall(
             plan.organisation,
--- a/src/main/kotlin/ledger/Ledger.kt
+++ b/src/main/kotlin/ledger/Ledger.kt
@@ -59,7 +59,7 @@
  *
  * @param capacity most keys that are kept; beyond it new ones are refused and none is dropped early.
  */
-class Ledger(private val self: Holder, private val capacity: Int = 200_000) {
+class Ledger(val self: Holder, private val capacity: Int = 200_000) {
     private val entries = LinkedHashMap<String, LedgerEntry>()
     private val inherited = LinkedHashMap<String, OutcomeAnswer>()
     private val claims = LinkedHashMap<String, ClaimRecord>()
--- a/src/main/kotlin/pipeline/Refusals.kt
+++ b/src/main/kotlin/pipeline/Refusals.kt
@@ -35,6 +35,13 @@
     request,
 )
 
+/** Returns this refusal as one that does not claim that nothing ran under its key. */
+internal fun Refusal.unvouched(): Refusal {
+    if (kind != RefusalKind.NOT_RUN) return this
+    val more = "an earlier send under this key may have run; an idempotent request may be sent again"
+    return copy(kind = RefusalKind.OUTCOME_UNKNOWN, remedy = "$remedy; $more")
+}
+
 internal fun logUnavailable(request: String): Refusal {
     val remedy = "the platform's log does not answer; use a key that starts with a ticket, or send again later"
     return notRun(request, RefusalReason.LOG_UNAVAILABLE, remedy, LOG_RETRY_MS)
--- a/src/main/kotlin/pipeline/RequestCoordinator.kt
+++ b/src/main/kotlin/pipeline/RequestCoordinator.kt
@@ -75,6 +75,7 @@
     private val retryBudget = Budget(policy.retryShare, burst = 20.0)
     private val hedgeBudget = Budget(policy.hedgeShare, burst = 10.0)
     private val probes = DeathProbes()
+    private val dispatchedKeys = DispatchedKeys(state.ledger)
     private val effects = ArrayList<RequestEffect>()
     private var sequence = 0L
 
@@ -113,10 +114,11 @@
         val organisation = catalogue?.organisations?.get(event.call.organisation)
         val refusal = arrivalRefusal(event, catalogue, plan)
         if (refusal != null || plan == null || organisation == null) {
-            refuseArrival(event.request, checkNotNull(refusal))
+            refuseArrival(event.request, vouched(event.call.key, checkNotNull(refusal)))
             return
         }
         val request = requestStateOf(event, plan, organisation.weight, now) { quantiles(it, now) }
+        request.isKeyKnown = event.call.key in dispatchedKeys
         if (plan.idempotent) admit(request, organisation.maxInProgress, now) else beginOnce(request, event, now)
     }
 
@@ -186,7 +188,7 @@
         val refusal = admissionRefusal(request, maxInProgress, now)
         if (refusal != null) {
             request.ledgerKey?.let(state.ledger::notRun)
-            refuseArrival(request.id, refusal)
+            refuseArrival(request.id, if (request.plan.idempotent) vouched(request.call.key, refusal) else refusal)
             return
         }
         retryBudget.earn()
@@ -282,6 +284,7 @@
             return
         }
         request.phase = Phase.RUNNING
+        if (key == null) dispatchedKeys.add(request.call.key)
         val id = AttemptId(request.id, ++request.attemptCount)
         request.attempts += AttemptState(id, target.key, target.address, target.incarnation, now)
         request.tried += target.key
@@ -568,11 +571,16 @@
         if (key != null && refusal != null) {
             if (request.dispatched) state.ledger.failed(key, refusal) else state.ledger.notRun(key)
         }
+        if (key == null && !request.dispatched && !request.isKeyKnown) dispatchedKeys.remove(request.call.key)
         if (request.answered || refusal == null) return
         counts = counts.copy(refused = counts.refused + 1)
-        effects += RequestEffect.Refuse(request.id, refusal)
+        val told = if (key == null) vouched(request.call.key, refusal) else refusal
+        effects += RequestEffect.Refuse(request.id, told)
     }
 
+    private fun vouched(key: String, refusal: Refusal): Refusal =
+        if (dispatchedKeys.mayVouchFor(key)) refusal else refusal.unvouched()
+
     private fun keep(request: RequestState) {
         requests[request.id] = request
         inProgressOf.merge(request.call.organisation, 1, Int::plus)
--- a/src/main/kotlin/pipeline/RequestState.kt
+++ b/src/main/kotlin/pipeline/RequestState.kt
@@ -50,6 +50,7 @@
     var answered = false
     var attemptCount = 0
     var retries = 0
+    var isKeyKnown = false
     var hedged = false
     var claimId: String? = null
     var probing: TargetKey? = null
--- a/src/test/kotlin/pipeline/RequestCoordinatorSpec.kt
+++ b/src/test/kotlin/pipeline/RequestCoordinatorSpec.kt
@@ -265,6 +265,19 @@
             (refusal.retryAfterMs > 0) shouldBe true
         }
 
+        test("a refusal speaks for all sends of its key: 'not run' only where this host knows") {
+            val world = World()
+            val hasty = { key: String -> RunCall("a", JsonPrimitive("x"), deadlineMs = 5, key = key) }
+            val own = Ticket("h0", 1, 0, "n").toString()
+            world.handle(RequestEvent.Arrived("fresh", pipeline, hasty("$own/1")))
+            world.told["fresh"]?.kind shouldBe RefusalKind.NOT_RUN
+            world.handle(RequestEvent.Arrived("foreign", pipeline, hasty(Ticket("h0", 0, 0, "n").toString() + "/1")))
+            world.told["foreign"]?.kind shouldBe RefusalKind.OUTCOME_UNKNOWN
+            world.handle(RequestEvent.Arrived("runs", pipeline, RunCall("a", JsonPrimitive("x"), key = "$own/2")))
+            world.handle(RequestEvent.Arrived("again", pipeline, hasty("$own/2")))
+            world.told["again"]?.kind shouldBe RefusalKind.OUTCOME_UNKNOWN
+        }
+
         test("a request that kills two targets is quarantined and takes no third") {
             val world = World()
             val call = RunCall("a", JsonPrimitive("poison"))
