Let 'apply' wait for a host that does not answer yet

Cause: with 36 processes starting at once, the steps of docs/OPERATIONS.md ran into 'does not answer' on a fresh clone.

--- a/src/main/kotlin/cli/OperatorCommands.kt
+++ b/src/main/kotlin/cli/OperatorCommands.kt
@@ -54,6 +54,12 @@
         throw CliktError("$address does not answer; pass another entry host with --host")
     }
 
+    /** Tells whether the host answers and is ready. */
+    fun isReady(): Boolean {
+        val outcome = http.fetchBlocking(address, ClientRequest("GET", "/ready"))
+        return outcome is FetchOutcome.Replied && outcome.reply.status == OK
+    }
+
     /** Returns the reply's body, or ends the command with what the host said. */
     fun get(path: String): String {
         val reply = call("GET", path)
@@ -115,10 +121,10 @@
         }
     }
 
-    /** A host that has just started reads the log first. */
+    /** A host that starts does not answer at first and then reads the log. */
     private fun awaitReady(client: OperatorClient) {
         val until = System.nanoTime() + SETTLE_LONGEST_MS * 1_000_000
-        while (client.call("GET", "/ready").status != OK) {
+        while (!client.isReady()) {
             if (System.nanoTime() > until) throw CliktError("$host is not ready; pass another host, or see its dump")
             Thread.sleep(SETTLE_POLL_MS)
         }
