Run the whole path on the platform: forwarding, stages filled from all hosts, engines

Cause: the product spoke its own protocol alone; the users' platform has a store, discovery entries, stage pools and engines of its own. Change: platform/ translates settings, declarations, entries, headers and stage calls; new slices serving, batching, engine and discovery decide; front puts them together on one control thread and one event loop.

--- a/src/main/kotlin/cli/Logs.kt
+++ b/src/main/kotlin/cli/Logs.kt
@@ -11,6 +11,7 @@
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.encoder.Encoder
 import net.logstash.logback.encoder.LogstashEncoder
+import org.sesamerouter.front.DECISION_LOGGER
 import org.sesamerouter.settings.LogSettings
 import org.slf4j.LoggerFactory
 
@@ -29,6 +30,25 @@
     context.getLogger("io.netty").level = Level.WARN
 }
 
+/** Sends decision lines to standard output as they are, and warnings to standard error. */
+internal fun configureFrontLogs() {
+    configureLogs(LogSettings(level = "warn"))
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    val encoder = PatternLayoutEncoder()
+    encoder.context = context
+    encoder.pattern = "%m%n"
+    encoder.start()
+    val appender = ConsoleAppender<ILoggingEvent>()
+    appender.context = context
+    appender.target = "System.out"
+    appender.encoder = encoder
+    appender.start()
+    val decisions = context.getLogger(DECISION_LOGGER)
+    decisions.isAdditive = false
+    decisions.level = Level.INFO
+    decisions.addAppender(appender)
+}
+
 private fun encoderOf(format: String, context: LoggerContext): Encoder<ILoggingEvent> {
     if (format == "json") return LogstashEncoder().also { it.start() }
     val encoder = PatternLayoutEncoder()
--- a/src/main/kotlin/cli/Main.kt
+++ b/src/main/kotlin/cli/Main.kt
@@ -20,6 +20,7 @@
     SesamerouterCommand()
         .subcommands(
             ServeCommand(),
+            FrontCommand(),
             CheckCommand(),
             ApplyCommand(),
             GetCommand(),
--- /dev/null
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -0,0 +1,390 @@
+/*
+ * One host that forwards requests on the platform: puts the slices together, runs decisions on the control thread and
+ * bytes on one event loop. It has no disk; what it has to know comes from the store, from its peers, or is lost with it.
+ */
+package org.sesamerouter.front
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import org.sesamerouter.batching.JobOutcome
+import org.sesamerouter.clock.Clock
+import org.sesamerouter.clock.systemClock
+import org.sesamerouter.discovery.EntryRead
+import org.sesamerouter.discovery.TargetDirectory
+import org.sesamerouter.discovery.TargetEntry
+import org.sesamerouter.engine.EngineTable
+import org.sesamerouter.host.ControlLoop
+import org.sesamerouter.membership.Member
+import org.sesamerouter.membership.MemberStatus
+import org.sesamerouter.membership.Membership
+import org.sesamerouter.membership.PeerLink
+import org.sesamerouter.pipeline.Budget
+import org.sesamerouter.platform.ADDRESSES_PATH
+import org.sesamerouter.platform.FrontSettings
+import org.sesamerouter.platform.READY_PATH
+import org.sesamerouter.platform.StoreClient
+import org.sesamerouter.platform.decodeServingConfig
+import org.sesamerouter.platform.encodeAddresses
+import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.routing.PlainTargets
+import org.sesamerouter.routing.rendezvous
+import org.sesamerouter.serving.FlowEffect
+import org.sesamerouter.serving.FlowEvent
+import org.sesamerouter.serving.FlowSurroundings
+import org.sesamerouter.serving.RequestFlows
+import org.sesamerouter.serving.ServingConfig
+import org.sesamerouter.web.ForwardClient
+import org.sesamerouter.web.IncomingRequest
+import org.sesamerouter.web.RequestLimits
+import org.sesamerouter.web.RequestServer
+import org.sesamerouter.web.startRequestServer
+import org.slf4j.LoggerFactory
+import java.util.Random
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+private const val TICK_MS = 25L
+private const val PROBE_INTERVAL_MS = 400L // a dead host is out of the address answers within a few of these
+private const val QUARANTINE_MS = 600_000L
+private const val SLACK_SHARE = 0.6 // of the shared retry slack; the rest covers restarts and changes of membership
+private const val STOP_LEAST_MS = 2_500L // callers have asked for addresses again by then
+private const val STOP_MARGIN_MS = 600L // before the process would be killed
+private const val STOP_POLL_MS = 50L
+private const val OK = 200
+private const val NOT_FOUND = 404
+private const val UNAVAILABLE = 503
+
+/** A running host. */
+class FrontHost internal constructor(private val settings: FrontSettings, private val metricsPort: Int?) :
+    ExchangeContext,
+    StageSurroundings,
+    StoreListener {
+    private val logger = LoggerFactory.getLogger(FrontHost::class.java)
+    internal val clock: Clock = systemClock()
+    internal val log = DecisionLog(settings.name, clock)
+    internal val loop = ControlLoop(settings.name)
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val traffic = group.next() as EventLoop
+    private val client = ForwardClient(traffic, clock)
+    private val metrics = FrontMetrics()
+    internal val directory = TargetDirectory()
+    internal val engines = EngineTable()
+    private val plain = PlainTargets()
+    internal val membership = Membership(firstRecord(), PROBE_INTERVAL_MS, Random())
+    internal val link = PeerLink(settings.linkAddress)
+    internal val peers = Peers(link, membership, loop, clock, log)
+    private val store = StoreClient(settings.storeAddress, client, traffic)
+    private val storeAdapter = StoreAdapter(store, traffic, loop, clock, log, directory, this)
+    internal val news = NewsAdapter(this)
+    private val exchanges = CallerExchanges(this, client, traffic, clock, log, metrics)
+    internal val stages =
+        StageRouter(this, StageCallAdapter(client, traffic, loop, log, metrics), peers, clock, log, ::onStageEnded)
+    private val flows = RequestFlows(
+        Surroundings(),
+        engines,
+        plain,
+        Quarantine(QUARANTINE_MS),
+        settings.dataCentre,
+        ::newBudget,
+    )
+    private var targetsByService: Map<String, List<TargetEntry>> = emptyMap()
+    private var targetsByAddress: Map<String, TargetEntry> = emptyMap()
+    private val servers = ArrayList<RequestServer>()
+
+    @Volatile
+    private var addresses: List<String> = emptyList()
+
+    @Volatile
+    private var isReady = false
+
+    @Volatile
+    private var isLeaving = false
+
+    @Volatile
+    override var config: ServingConfig? = null
+        private set
+
+    /** The declarations in force as the store holds them. */
+    internal var configText: String? = null
+        private set
+
+    override val self: Member get() = membership.self
+
+    private fun firstRecord() = Member(
+        settings.name,
+        clock.nowMs(),
+        version = 0,
+        MemberStatus.ALIVE,
+        peer = settings.linkAddress,
+        http = settings.requestAddress,
+        dataCentre = settings.dataCentre,
+    )
+
+    internal fun start() {
+        log.write("start", "link" to settings.linkAddress, "store" to settings.storeAddress)
+        link.start(news)
+        membership.setSeeds(settings.seedAddresses)
+        peers.onSilent = stages::onOwnerLost
+        listen(settings.requestAddress, { config?.limits ?: RequestLimits() }, exchanges::onRequest)
+        listen(settings.readyAddress, { RequestLimits() }, ::onReadyQuestion)
+        listen(settings.addressAddress, { RequestLimits() }, ::onAddressQuestion)
+        metricsPort?.let { listen("${settings.ip}:$it", { RequestLimits() }, ::onMetricsQuestion) }
+        gauges()
+        loop.every(TICK_MS, ::tick)
+        storeAdapter.start(settings.name, settings.linkAddress)
+        logger.info("host {} serves at {}", settings.name, settings.requestAddress)
+    }
+
+    private fun listen(address: String, limits: () -> RequestLimits, handler: (IncomingRequest) -> Unit) {
+        servers += startRequestServer(address, group, clock, limits, handler)
+    }
+
+    private fun gauges() {
+        metrics.gauge("forward.in.progress") { flows.inProgress }
+        metrics.gauge("stage.waiting") { stages.waiting }
+        metrics.gauge("targets.known") { directory.targets.size }
+        metrics.gauge("members.live") { membership.live().size }
+        metrics.gauge("configuration.version") { config?.version ?: -1 }
+        metrics.gauge("store.calls") { store.calls }
+        metrics.gauge("connections.opened") { client.opened }
+        metrics.gauge("log.dropped") { log.dropped }
+        metrics.gauge("peers.bytes.sent") { link.counts().bytesSent }
+        metrics.gauge("peers.bytes.received") { link.counts().bytesReceived }
+        metrics.gauge("peers.frames.bad") { link.counts().badFrames }
+    }
+
+    /** Ends after a planned stop: what runs is answered, as far as the time allows. */
+    fun stop() {
+        val began = clock.nowMs()
+        isLeaving = true
+        isReady = false
+        servers.forEach { it.isClosing = true }
+        log.write("stop", "grace-ms" to settings.graceMs)
+        onLoop { membership.updateSelf(spread = true) { it.copy(leaving = true, ready = false) } }
+        val last = began + settings.graceMs - STOP_MARGIN_MS
+        while (clock.nowMs() < last) {
+            val busy = onLoop { flows.inProgress + stages.remoteJobs }
+            if (busy == 0 && clock.nowMs() - began >= STOP_LEAST_MS) break
+            Thread.sleep(STOP_POLL_MS)
+        }
+        onLoop { membership.updateSelf(spread = true) { it.copy(status = MemberStatus.LEFT) } }
+        log.write("stopped", "after-ms" to clock.nowMs() - began)
+        servers.forEach { it.close() }
+        Thread.sleep(STOP_POLL_MS)
+    }
+
+    /** Ends at once, as a process does that is killed. */
+    fun kill() {
+        loop.close()
+        link.close()
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+
+    private fun <T> onLoop(task: () -> T): T {
+        val future = CompletableFuture<T>()
+        loop.post { future.complete(task()) }
+        return future.get()
+    }
+
+    private fun tick() {
+        val now = clock.nowMs()
+        if (flows.inProgress > 0) post(FlowEvent.Tick, now)
+        stages.onTick(now)
+        membership.onTick(now).forEach(link::sendProbe)
+        peers.onTick(now)
+        storeAdapter.onTick(now)
+        if (directory.onTick(now)) onTargetsChanged(now)
+        news.onTick(now)
+        publish()
+    }
+
+    private fun publish() {
+        val ready = !isLeaving && config != null && directory.isReady
+        if (ready != isReady) log.write("ready", "ready" to ready, "version" to config?.version)
+        isReady = ready
+        val version = config?.version ?: -1
+        val changed = membership.self.ready != ready || membership.self.revision != version
+        if (changed) membership.updateSelf(spread = true) { it.copy(ready = ready, revision = version) }
+        addresses = membership.live()
+            .filter { it.status == MemberStatus.ALIVE && it.ready && !it.leaving && peers.isTrusted(it.host) }
+            .map { it.http }.sorted()
+    }
+
+    private fun onReadyQuestion(request: IncomingRequest) {
+        val status = when {
+            request.uri.substringBefore('?') != READY_PATH -> NOT_FOUND
+            isReady -> OK
+            else -> UNAVAILABLE
+        }
+        request.reply(status)
+    }
+
+    private fun onAddressQuestion(request: IncomingRequest) {
+        if (request.uri.substringBefore('?') != ADDRESSES_PATH) {
+            request.reply(NOT_FOUND)
+            return
+        }
+        val known = addresses
+        if (known.isEmpty()) {
+            request.reply(UNAVAILABLE)
+        } else {
+            val headers = DefaultHttpHeaders().set("Content-Type", "application/json")
+            request.reply(OK, encodeAddresses(known, settings.addressLifeMs), headers)
+        }
+    }
+
+    private fun onMetricsQuestion(request: IncomingRequest) {
+        request.reply(OK, metrics.scrape().toByteArray(), DefaultHttpHeaders().set("Content-Type", "text/plain"))
+    }
+
+    override fun post(event: FlowEvent) = loop.post { post(event, clock.nowMs()) }
+
+    private fun post(event: FlowEvent, now: Long) {
+        if (event is FlowEvent.SendFailed) {
+            log.write("send-failed", "flow" to event.send.flow, "send" to event.send.number, "why" to event.failure)
+        }
+        flows.handle(event, now).forEach { apply(it, now) }
+    }
+
+    private fun apply(effect: FlowEffect, now: Long) {
+        when (effect) {
+            is FlowEffect.RunStage -> stages.submit(effect.job)
+
+            is FlowEffect.CancelStage -> stages.cancel(effect.service, effect.job)
+
+            is FlowEffect.FreeResults -> stages.free(effect.service, effect.handles)
+
+            is FlowEffect.Ended -> {
+                metrics.ended(effect.outcome.substringBefore(':'))
+                log.write("ended", "flow" to effect.flow, "outcome" to effect.outcome, "sends" to effect.sends)
+            }
+
+            else -> {
+                logDecision(effect, now)
+                traffic.execute { exchanges.apply(effect) }
+            }
+        }
+    }
+
+    private fun logDecision(effect: FlowEffect, now: Long) {
+        when (effect) {
+            is FlowEffect.Send -> {
+                metrics.sends.increment()
+                log.write(
+                    "send",
+                    "flow" to effect.send.flow,
+                    "send" to effect.send.number,
+                    "target" to effect.target.id,
+                    "inputs" to effect.inputs.size,
+                    "left-ms" to effect.deadlineLeftMs,
+                    "targets-age-ms" to now - directory.freshMs,
+                )
+            }
+
+            is FlowEffect.Reject -> log.write(
+                "reject",
+                "flow" to effect.flow,
+                "status" to effect.status,
+                "reason" to effect.reason,
+                "retry-after-ms" to effect.retryAfterMs,
+                "targets-age-ms" to now - directory.freshMs,
+            )
+
+            else -> Unit
+        }
+    }
+
+    private fun onStageEnded(job: String, outcome: JobOutcome) {
+        if (outcome.failure != null) log.write("stage-failed", "job" to job, "why" to outcome.failure)
+        post(FlowEvent.StageEnded(job, outcome), clock.nowMs())
+    }
+
+    override fun onConfig(text: String) {
+        val decoded = decodeServingConfig(text)
+        if (decoded == null) {
+            log.write("configuration-unreadable", "bytes" to text.length)
+            return
+        }
+        val current = config
+        if (current != null && decoded.version <= current.version) return
+        config = decoded
+        configText = text
+        log.write("configuration", "version" to decoded.version, "routes" to decoded.routes.size)
+        news.tellNow()
+        onTargetsChanged(clock.nowMs())
+    }
+
+    override fun onTargets(read: EntryRead) = onTargets(read, ageMs = 0, isOwn = true)
+
+    /** Takes in targets that this host or a peer read. */
+    internal fun onTargets(read: EntryRead, ageMs: Long, isOwn: Boolean) {
+        val now = clock.nowMs()
+        val wasReady = directory.isReady
+        val changes = directory.onRead(read, ageMs, now)
+        if (isOwn) news.onOwnRead(read.copy(full = false, changes = changes))
+        if (changes.isEmpty() && wasReady) return
+        changes.forEach {
+            log.write(
+                "target",
+                "target" to it.id,
+                "service" to it.entry?.service,
+                "draining" to it.entry?.isDraining,
+                "gone" to (it.entry == null),
+                "offset" to it.offset,
+                "own" to isOwn,
+            )
+        }
+        onTargetsChanged(now)
+    }
+
+    private fun onTargetsChanged(now: Long) {
+        val all = directory.targets.values
+        targetsByService = all.filter { !it.isDraining }.groupBy { it.service }
+        targetsByAddress = all.associateBy { it.address }
+        engines.update(all.filter { config?.services?.get(it.service)?.engine != null })
+        plain.update(all)
+        stages.onTargets(now)
+    }
+
+    override fun onHosts(addresses: List<String>) = membership.setSeeds((addresses + settings.seedAddresses).distinct())
+
+    override fun readTurn(): Int {
+        val name = "target-reader"
+        val mine = rendezvous(name, self.host)
+        return membership.live().count { it.host != self.host && !it.leaving && rendezvous(name, it.host) < mine }
+    }
+
+    override fun owners(): List<Member> = membership.live().filter {
+        !it.leaving && it.ready && it.status == MemberStatus.ALIVE && peers.isTrusted(it.host)
+    }
+
+    override fun targets(service: String): List<TargetEntry> = targetsByService[service].orEmpty()
+
+    override fun targetAt(address: String): TargetEntry? = targetsByAddress[address]
+
+    private fun newBudget(): Budget {
+        val hosts = maxOf(1, membership.live().size)
+        return Budget(settings.retryShare, SLACK_SHARE * settings.retrySlack / hosts)
+    }
+
+    private inner class Surroundings : FlowSurroundings {
+        override val config: ServingConfig? get() = this@FrontHost.config
+
+        override fun targets(service: String) = this@FrontHost.targets(service)
+
+        override fun dataCentreOf(address: String) = targetsByAddress[address]?.dataCentre
+
+        override fun connectionShare(service: String): Int {
+            val most = this@FrontHost.config?.services?.get(service)?.maxConnections ?: 1
+            return maxOf(1, most / maxOf(1, membership.live().size))
+        }
+
+        override fun stageMs(service: String) = stages.stageMs(service)
+    }
+}
+
+/** Starts a host with [settings]; with [metricsPort] it serves its metrics there. */
+fun startFrontHost(settings: FrontSettings, metricsPort: Int? = null): FrontHost =
+    FrontHost(settings, metricsPort).also { it.start() }
--- /dev/null
+++ b/src/main/kotlin/front/FrontMetrics.kt
@@ -0,0 +1,37 @@
+/*
+ * Counters, gauges and latency histograms of a host that forwards requests, as Prometheus text.
+ */
+package org.sesamerouter.front
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.DistributionSummary
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+
+private val LATENCY_BUCKETS_MS = doubleArrayOf(50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0)
+
+internal class FrontMetrics {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    val arrived: Counter = registry.counter("sesamerouter.forward.arrived")
+    val refused: Counter = registry.counter("sesamerouter.forward.refused")
+    val sends: Counter = registry.counter("sesamerouter.forward.sends")
+    val stageCalls: Counter = registry.counter("sesamerouter.stage.calls")
+    val stagePieces: Counter = registry.counter("sesamerouter.stage.pieces")
+    val firstByteMs: DistributionSummary = latency("sesamerouter.forward.first.byte.ms")
+    val answerMs: DistributionSummary = latency("sesamerouter.forward.answer.ms")
+
+    /** Counts a request that ended with [outcome]. */
+    fun ended(outcome: String) = registry.counter("sesamerouter.forward.ended", "outcome", outcome).increment()
+
+    fun gauge(name: String, read: () -> Number) {
+        Gauge.builder("sesamerouter.$name") { read() }.register(registry)
+    }
+
+    /** Returns all metrics. */
+    fun scrape(): String = registry.scrape()
+
+    private fun latency(name: String) =
+        DistributionSummary.builder(name).serviceLevelObjectives(*LATENCY_BUCKETS_MS).register(registry)
+}
--- a/src/main/kotlin/host/PeerAdapter.kt
+++ b/src/main/kotlin/host/PeerAdapter.kt
@@ -19,6 +19,7 @@
 import org.sesamerouter.membership.PeerReply
 import org.sesamerouter.membership.PeerRequest
 import org.sesamerouter.membership.ProbeMessage
+import org.sesamerouter.membership.ServingRequest
 import org.sesamerouter.pipeline.CallTarget
 import org.sesamerouter.pipeline.RequestEffect
 import org.sesamerouter.quarantine.DeathNotice
@@ -49,6 +50,9 @@
                 reply(PeerReply.Taken)
             }
 
+            // Hosts that forward requests have their own handler; this one has no answer and the asker a timeout.
+            is ServingRequest -> Unit
+
             is PeerRequest.Inherit -> {
                 WireJson.decodeOrNull(OUTCOMES, request.outcomes)?.let(host.ledger::inherit)
                 reply(PeerReply.Taken)
--- a/src/main/kotlin/membership/Membership.kt
+++ b/src/main/kotlin/membership/Membership.kt
@@ -213,6 +213,11 @@
     }
 
     private fun refute(record: Member) {
+        if (record.incarnation > self.incarnation) {
+            // The wall clock that numbers incarnations was set back between two starts of this host.
+            updateSelf(spread = true) { it.copy(incarnation = record.incarnation + 1) }
+            return
+        }
         if (record.incarnation != self.incarnation || record.status == MemberStatus.ALIVE) return
         if (self.status == MemberStatus.LEFT || record.version < self.version) return
         counts = counts.copy(refutations = counts.refutations + 1)
--- a/src/main/kotlin/membership/PeerLink.kt
+++ b/src/main/kotlin/membership/PeerLink.kt
@@ -151,6 +151,11 @@
         if (job.isCancelled) done(PeerOutcome.Failed(sent = false))
     }
 
+    /** Closes the connection to [peer], whose silence was noticed; requests that wait for it fail. */
+    fun drop(peer: String) {
+        connections.remove(peer)?.close()
+    }
+
     /** Closes every socket. */
     fun close() {
         scope.cancel()
--- /dev/null
+++ b/src/main/kotlin/platform/ConfigDecoder.kt
@@ -0,0 +1,191 @@
+/*
+ * Translates the operator's declarations and the entries of targets from the platform's JSON.
+ */
+package org.sesamerouter.platform
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.intOrNull
+import kotlinx.serialization.json.longOrNull
+import org.sesamerouter.discovery.TargetEntry
+import org.sesamerouter.serving.BatchSpec
+import org.sesamerouter.serving.CallerOrganisation
+import org.sesamerouter.serving.EngineSpec
+import org.sesamerouter.serving.Route
+import org.sesamerouter.serving.RouteKind
+import org.sesamerouter.serving.ServiceShare
+import org.sesamerouter.serving.ServiceSpec
+import org.sesamerouter.serving.ServingConfig
+import org.sesamerouter.serving.StageSpec
+import org.sesamerouter.web.RequestLimits
+
+private const val BYTES_PER_MB = 1_000_000.0
+private const val DEFAULT_RANK = 5
+private const val DEFAULT_CONNECTIONS = 64
+
+internal val platformJson = Json {
+    ignoreUnknownKeys = true
+    isLenient = false
+}
+
+@Serializable
+private data class WireConfig(
+    val version: Long,
+    val routes: List<WireRoute>,
+    val services: List<WireService>,
+    val tenants: List<WireTenant> = emptyList(),
+    val limits: WireLimits = WireLimits(),
+)
+
+@Serializable
+private data class WireRoute(
+    val name: String,
+    val host: String,
+    @SerialName("path-prefix") val pathPrefix: String,
+    val kind: String,
+    @SerialName("timeout-ms") val timeoutMs: Double,
+    @SerialName("target-latency-ms") val targetLatencyMs: Double = 0.0,
+    val priority: Int = DEFAULT_RANK,
+    val service: String? = null,
+    val split: List<WireShare> = emptyList(),
+    @SerialName("max-attempts") val maxAttempts: Int = 1,
+    val stages: List<WireStage> = emptyList(),
+    val public: Boolean = false,
+    val resumable: Boolean = false,
+    @SerialName("gap-aim-ms") val gapAimMs: Double = 0.0,
+)
+
+@Serializable
+private data class WireShare(val service: String, val weight: Int)
+
+@Serializable
+private data class WireStage(val service: String, val after: List<Int> = emptyList(), val bytes: Double = 0.0)
+
+@Serializable
+private data class WireService(
+    val name: String,
+    @SerialName("health-path") val healthPath: String = "/health",
+    @SerialName("max-conns") val maxConns: Int = DEFAULT_CONNECTIONS,
+    val pieces: WirePieces? = null,
+    val engine: WireEngine? = null,
+)
+
+@Serializable
+private data class WirePieces(
+    val slots: Int = 1,
+    val batch: Int = 1,
+    @SerialName("call-ms") val callMs: Double = 0.0,
+    @SerialName("item-ms") val itemMs: Double = 0.0,
+    @SerialName("headroom-mb") val headroomMb: Double = 0.0,
+)
+
+@Serializable
+private data class WireEngine(val slots: Int = 1, @SerialName("kv-capacity") val kvCapacity: Double = 0.0)
+
+@Serializable
+private data class WireTenant(
+    val name: String,
+    @SerialName("api-keys") val apiKeys: List<String> = emptyList(),
+    val priority: Int? = null,
+)
+
+@Serializable
+private data class WireLimits(
+    @SerialName("max-header-bytes") val maxHeaderBytes: Int = 16_384,
+    @SerialName("max-body-bytes") val maxBodyBytes: Int = 4 * 1024 * 1024,
+    @SerialName("header-timeout-ms") val headerTimeoutMs: Double = 10_000.0,
+    @SerialName("idle-timeout-ms") val idleTimeoutMs: Double = 60_000.0,
+)
+
+/** Decodes the declarations in [text], or returns null when it does not hold any. */
+fun decodeServingConfig(text: String): ServingConfig? = try {
+    platformJson.decodeFromString(WireConfig.serializer(), text).translate()
+} catch (_: SerializationException) {
+    null
+} catch (_: IllegalArgumentException) {
+    null
+}
+
+private fun WireConfig.translate() = ServingConfig(
+    version,
+    routes.map { it.translate() },
+    services.associate { it.name to it.translate() },
+    tenants.map { CallerOrganisation(it.name, it.priority, it.apiKeys.toSet()) },
+    RequestLimits(
+        limits.maxHeaderBytes,
+        limits.maxBodyBytes,
+        limits.headerTimeoutMs.toLong(),
+        limits.idleTimeoutMs.toLong(),
+    ),
+)
+
+private fun WireRoute.translate() = Route(
+    name = name,
+    authority = host,
+    pathPrefix = pathPrefix,
+    kind = when (kind) {
+        "safe" -> RouteKind.SAFE
+        "streaming" -> RouteKind.STREAM
+        else -> RouteKind.UNSAFE
+    },
+    isResumable = resumable && kind == "streaming",
+    timeoutMs = timeoutMs.toLong(),
+    aimMs = targetLatencyMs.toLong(),
+    rank = priority,
+    shares = split.map { ServiceShare(it.service, it.weight) }.ifEmpty { listOfNotNull(service?.let(::wholeShare)) },
+    maxAttempts = maxAttempts,
+    stages = stages.map { StageSpec(it.service, it.after, it.bytes.toLong()) },
+    isPublic = public,
+    gapAimMs = gapAimMs.toLong(),
+)
+
+private fun wholeShare(service: String) = ServiceShare(service, 1)
+
+private fun WireService.translate() = ServiceSpec(
+    name,
+    healthPath,
+    maxConns,
+    // 'headroom' is the space for results, all of it.
+    pieces?.let { BatchSpec(it.slots, it.batch, it.callMs, it.itemMs, (it.headroomMb * BYTES_PER_MB).toLong()) },
+    engine?.let { EngineSpec(it.slots, it.kvCapacity.toLong()) },
+)
+
+/**
+ * Decodes the entry of the target [id], or returns null when it names no target that can be used: entries of other
+ * writers may lack fields or hold anything else.
+ */
+fun decodeTargetEntry(id: String, text: String): TargetEntry? {
+    val fields = try {
+        platformJson.parseToJsonElement(text) as? JsonObject
+    } catch (_: SerializationException) {
+        null
+    } ?: return null
+    val state = fields.text("state")
+    val address = fields.text("address")?.takeIf { ADDRESS.matches(it) }
+    if (address == null || state !in setOf("ready", "draining")) return null
+    return TargetEntry(
+        id = id,
+        service = fields.text("service") ?: return null,
+        address = address,
+        dataCentre = fields.text("zone") ?: return null,
+        slots = fields.number("slots")?.intOrNull ?: return null,
+        isDraining = state == "draining",
+        // 'born' is the start of the process; entries of older software lack it.
+        bornMs = fields.number("born")?.longOrNull ?: 0,
+    )
+}
+
+private val ADDRESS = Regex("""\d{1,3}(\.\d{1,3}){3}:\d{1,5}""")
+
+private fun JsonObject.text(name: String): String? = (this[name] as? JsonPrimitive)?.takeIf { it.isString }?.content
+
+private fun JsonObject.number(name: String): JsonPrimitive? = this[name].asNumber()
+
+private fun JsonElement?.asNumber(): JsonPrimitive? =
+    (this as? JsonPrimitive)?.takeIf { !it.isString && it.booleanOrNull == null }
--- /dev/null
+++ b/src/main/kotlin/platform/StageCalls.kt
@@ -0,0 +1,80 @@
+/*
+ * Translates calls to stage targets.
+ */
+package org.sesamerouter.platform
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import org.sesamerouter.batching.CallItem
+import org.sesamerouter.batching.PieceOutcome
+import org.sesamerouter.discovery.TargetEntry
+import org.sesamerouter.web.OutgoingRequest
+
+@Serializable
+private data class WireItem(
+    val id: String,
+    val stage: Int,
+    val piece: Int,
+    @SerialName("left-ms") val leftMs: Long,
+    val key: String? = null,
+    val inputs: List<String>? = null,
+)
+
+@Serializable
+private data class WireItems(val items: List<WireItem>)
+
+@Serializable
+private data class WireMade(val handle: String? = null, val reason: String? = null)
+
+@Serializable
+private data class WireMadeItems(val items: List<WireMade>)
+
+@Serializable
+private data class WireHandles(val handles: List<String>)
+
+/** Returns the call that makes [items] at [target]. */
+fun encodeStageRun(target: TargetEntry, items: List<CallItem>): OutgoingRequest {
+    val wire = items.map { item ->
+        val piece = item.piece
+        val inputs = piece.inputs.ifEmpty { null }
+        WireItem(item.request, item.stage, piece.number, item.leftMs, piece.key, inputs)
+    }
+    return post(target, "/v1/stage-run", platformJson.encodeToString(WireItems.serializer(), WireItems(wire)))
+}
+
+/** Returns the call that frees [handles] at [target]. */
+fun encodeStageFree(target: TargetEntry, handles: List<String>): OutgoingRequest =
+    post(target, "/v1/stage-free", platformJson.encodeToString(WireHandles.serializer(), WireHandles(handles)))
+
+private fun post(target: TargetEntry, uri: String, body: String) =
+    OutgoingRequest("POST", uri, encodeTargetCall(target.address, target.id), body.toByteArray())
+
+/**
+ * Decodes the reply to a call of [count] items at [target], or returns null when it is no reply to that call. Handles
+ * name their maker, so one of another target belongs to another call.
+ */
+fun decodeStageRun(target: TargetEntry, count: Int, text: String): List<PieceOutcome>? {
+    val items = try {
+        platformJson.decodeFromString(WireMadeItems.serializer(), text).items
+    } catch (_: SerializationException) {
+        return null
+    }
+    if (items.size != count) return null
+    return items.map { item ->
+        when {
+            item.handle != null -> {
+                if (!item.handle.startsWith("${target.address}/")) return null
+                PieceOutcome.Made(item.handle)
+            }
+
+            item.reason == "late" -> PieceOutcome.Late
+
+            item.reason == "gone" -> PieceOutcome.InputGone
+
+            item.reason == "room" -> PieceOutcome.NoRoom
+
+            else -> PieceOutcome.Failed
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -0,0 +1,451 @@
+/*
+ * The way of each forwarded request on this host: its stages, the choice of the target, repeats where they are allowed,
+ * and the final answer. A state machine without I/O; it runs on the control thread.
+ */
+package org.sesamerouter.serving
+
+import org.sesamerouter.batching.JobFailure
+import org.sesamerouter.batching.JobOutcome
+import org.sesamerouter.batching.Piece
+import org.sesamerouter.batching.StageJob
+import org.sesamerouter.discovery.TargetEntry
+import org.sesamerouter.engine.EngineTable
+import org.sesamerouter.engine.Prompt
+import org.sesamerouter.pipeline.Budget
+import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.quarantine.Standing
+import org.sesamerouter.routing.PlainTargets
+import org.sesamerouter.routing.ToldLoad
+
+private const val MAX_SENDS = 5
+private const val MAX_STAGE_RUNS = 2
+private const val FIRST_EVENT_MS = 120L // an engine's typical time to its first event
+private const val RETRY_AFTER_MS = 400L
+private const val LEAST_SEND_MS = 20L // a send with less time left only wastes the target's work
+private const val FIRST_FAULT_STATUS = 500
+private const val NOT_RUN_STATUS = 503
+private const val UNKNOWN_STATUS = 502
+private const val TIMEOUT_STATUS = 504
+private const val INPUTS_GONE_STATUS = 409
+
+/** What the flows read of the rest of this host's state. */
+interface FlowSurroundings {
+    /** The configuration in force. */
+    val config: ServingConfig?
+
+    /** Returns the targets of [service] that may get new work. */
+    fun targets(service: String): List<TargetEntry>
+
+    /** Returns the data centre of the target that listens at [address]. */
+    fun dataCentreOf(address: String): String?
+
+    /** Most connections of this host to one target of [service]. */
+    fun connectionShare(service: String): Int
+
+    /** Expected time of a stage in the pool [service], with its queue. */
+    fun stageMs(service: String): Double
+}
+
+/** The requests of one host. Not thread-safe. */
+class RequestFlows(
+    private val surroundings: FlowSurroundings,
+    private val engines: EngineTable,
+    private val plain: PlainTargets,
+    private val quarantine: Quarantine,
+    private val dataCentre: String,
+    private val newBudget: () -> Budget,
+) {
+    private class Flow(val request: ForwardRequest) {
+        val handles = arrayOfNulls<List<String>>(request.route.stages.size)
+        val jobs = HashMap<String, Int>()
+        val startedStages = HashSet<Int>()
+        val tried = HashSet<String>()
+        var stageRuns = 0
+        var sends = 0
+        var runs = 0
+        var send: Sent? = null
+        var mayHaveRun = false
+        var hasHeldAnswer = false
+
+        /** Whether the caller has a part of the answer. */
+        var isBegun = false
+        var lastEventId = request.lastEventId
+    }
+
+    private class Sent(val id: SendId, val target: TargetEntry, val unread: Long, val sentMs: Long) {
+        var isRead = false
+    }
+
+    private val flows = LinkedHashMap<Long, Flow>()
+    private val flowOfJob = HashMap<String, Flow>()
+    private val budgets = HashMap<String, Budget>()
+    private val effects = ArrayList<FlowEffect>()
+    private var jobSequence = 0L
+
+    /** Requests that have not ended. */
+    val inProgress: Int get() = flows.size
+
+    /** Takes in [event] and returns what is to be done, in order. */
+    fun handle(event: FlowEvent, now: Long): List<FlowEffect> {
+        when (event) {
+            is FlowEvent.Arrived -> onArrived(event.request, now)
+            is FlowEvent.StageEnded -> onStageEnded(event, now)
+            is FlowEvent.AnswerBegan -> onAnswerBegan(event, now)
+            is FlowEvent.AnswerEnded -> onAnswerEnded(event, now)
+            is FlowEvent.SendFailed -> onSendFailed(event, now)
+            is FlowEvent.CallerLeft -> flows[event.flow]?.let { abandon(it, "caller left") }
+            FlowEvent.Tick -> onTick(now)
+        }
+        val out = effects.toList()
+        effects.clear()
+        return out
+    }
+
+    private fun onArrived(request: ForwardRequest, now: Long) {
+        val flow = Flow(request)
+        flows[request.flow] = flow
+        budgetOf(request.service).earn()
+        if (quarantine.standing(request.fingerprint, now) == Standing.QUARANTINED) {
+            reject(flow, RejectReason.QUARANTINED, quarantine.remainingMs(request.fingerprint, now))
+        } else {
+            startStages(flow, now)
+        }
+    }
+
+    private fun startStages(flow: Flow, now: Long) {
+        val stages = flow.request.route.stages
+        for (number in stages.indices) {
+            if (number in flow.startedStages || piecesOf(flow, number) == 0) continue
+            if (stages[number].after.any { piecesOf(flow, it) > 0 && flow.handles[it] == null }) continue
+            flow.startedStages += number
+            startStage(flow, number, now)
+        }
+        val left = stages.indices.any { piecesOf(flow, it) > 0 && flow.handles[it] == null }
+        if (!left) send(flow, now)
+    }
+
+    private fun piecesOf(flow: Flow, stage: Int): Int = flow.request.pieces.getOrElse(stage) { 0 }
+
+    private fun startStage(flow: Flow, number: Int, now: Long) {
+        val request = flow.request
+        val stage = request.route.stages[number]
+        val inputs = stage.after.flatMap { flow.handles[it].orEmpty() }
+        val key = if (inputs.isEmpty()) request.pieceKey else null
+        val rest = restMs(flow, number)
+        val job = StageJob(
+            job = "${request.id}/$number/${jobSequence++}",
+            request = request.id,
+            service = stage.service,
+            stage = number,
+            pieces = List(piecesOf(flow, number)) { Piece(it, key, inputs) },
+            resultBytes = stage.resultBytes,
+            rank = request.rank,
+            aimLeftMs = request.arrivedMs + request.route.aimMs - rest - now,
+            deadlineLeftMs = request.deadlineMs - rest / 2 - now,
+        )
+        flow.jobs[job.job] = number
+        flowOfJob[job.job] = flow
+        effects += FlowEffect.RunStage(job)
+    }
+
+    /** Expected time from the end of [stage] to the first event. */
+    private fun restMs(flow: Flow, stage: Int): Long {
+        val stages = flow.request.route.stages
+        val next = stages.indices.filter { stage in stages[it].after && piecesOf(flow, it) > 0 }
+        val longest = next.maxOfOrNull { surroundings.stageMs(stages[it].service).toLong() + restMs(flow, it) }
+        return longest ?: FIRST_EVENT_MS
+    }
+
+    private fun onStageEnded(event: FlowEvent.StageEnded, now: Long) {
+        val flow = flowOfJob.remove(event.job) ?: return
+        val number = flow.jobs.remove(event.job) ?: return
+        val failure = event.outcome.failure
+        if (failure == null) {
+            flow.handles[number] = event.outcome.handles
+            freeConsumed(flow)
+            startStages(flow, now)
+        } else {
+            onStageFailed(flow, failure, now)
+        }
+    }
+
+    private fun onStageFailed(flow: Flow, failure: JobFailure, now: Long) {
+        val mayRunAgain = failure == JobFailure.INPUT_GONE && flow.stageRuns < MAX_STAGE_RUNS
+        if (mayRunAgain && now + LEAST_SEND_MS < flow.request.deadlineMs) {
+            runStagesAgain(flow, now)
+        } else {
+            val reason = if (failure == JobFailure.LATE) RejectReason.DEADLINE else RejectReason.STAGE_FAILED
+            giveUp(flow, reason)
+        }
+    }
+
+    private fun runStagesAgain(flow: Flow, now: Long) {
+        flow.stageRuns++
+        cancelStages(flow)
+        startStages(flow, now)
+    }
+
+    /** Frees results whose every consumer among the stages is done. */
+    private fun freeConsumed(flow: Flow) {
+        val stages = flow.request.route.stages
+        for (number in stages.indices) {
+            val handles = flow.handles[number] ?: continue
+            val consumers = stages.indices.filter { number in stages[it].after && piecesOf(flow, it) > 0 }
+            if (handles.isEmpty() || consumers.isEmpty() || consumers.any { flow.handles[it] == null }) continue
+            effects += FlowEffect.FreeResults(stages[number].service, handles)
+            flow.handles[number] = emptyList()
+        }
+    }
+
+    private fun send(flow: Flow, now: Long) {
+        val request = flow.request
+        val left = request.deadlineMs - now
+        if (left < LEAST_SEND_MS) {
+            giveUp(flow, RejectReason.DEADLINE)
+            return
+        }
+        val candidates = surroundings.targets(request.service)
+        val prompt = promptOf(flow)
+        val isEngine = surroundings.config?.services?.get(request.service)?.engine != null
+        val target = if (isEngine) {
+            engines.choose(candidates.filter { it.id !in flow.tried }.ifEmpty { candidates }, prompt, now)
+        } else {
+            plain.choose(candidates, flow.tried, dataCentre, now)
+        }
+        if (target == null) {
+            giveUp(flow, RejectReason.NO_TARGET)
+            return
+        }
+        val unread = if (isEngine) engines.onSend(target.id, prompt, cacheTokens(request.service)) else 0
+        plain.onSend(target)
+        val sent = Sent(SendId(request.flow, ++flow.sends), target, unread, now)
+        flow.send = sent
+        flow.tried += target.id
+        effects += FlowEffect.Send(
+            sent.id,
+            target,
+            surroundings.connectionShare(request.service),
+            finalHandles(flow),
+            left,
+            flow.lastEventId,
+            request.rank,
+        )
+    }
+
+    private fun cacheTokens(service: String) =
+        surroundings.config?.services?.get(service)?.engine?.cacheTokens ?: Long.MAX_VALUE
+
+    private fun promptOf(flow: Flow): Prompt {
+        val stages = flow.request.route.stages
+        val inputs = HashMap<String, Long>()
+        for (number in stages.indices) {
+            for (handle in flow.handles[number].orEmpty()) {
+                val at = surroundings.dataCentreOf(handle.substringBefore('/')) ?: continue
+                inputs.merge(at, stages[number].resultBytes, Long::plus)
+            }
+        }
+        return Prompt(flow.request.parts, flow.request.outputTokens, inputs)
+    }
+
+    /** Results of the stages that no other stage follows. */
+    private fun finalHandles(flow: Flow): List<String> = flow.handles.filterNotNull().flatten()
+
+    private fun sentOf(id: SendId): Pair<Flow, Sent>? {
+        val flow = flows[id.flow] ?: return null
+        val sent = flow.send?.takeIf { it.id == id } ?: return null
+        return flow to sent
+    }
+
+    private fun onAnswerBegan(event: FlowEvent.AnswerBegan, now: Long) {
+        val (flow, sent) = sentOf(event.send) ?: return
+        flow.isBegun = true
+        event.load?.let { plain.onLoad(sent.target, it, now) }
+        markRead(flow, sent)
+    }
+
+    private fun markRead(flow: Flow, sent: Sent) {
+        if (sent.isRead) return
+        sent.isRead = true
+        engines.onRead(sent.target.id, sent.unread)
+        engines.onAnswer(sent.target.id)
+        freeAll(flow)
+    }
+
+    private fun onAnswerEnded(event: FlowEvent.AnswerEnded, now: Long) {
+        val (flow, sent) = sentOf(event.send) ?: return
+        endSend(flow, sent)
+        plain.onAnswer(sent.target, now - sent.sentMs, failed = false, now)
+        quarantine.onSuccess(flow.request.fingerprint, now)
+        end(flow, "answered ${event.status}")
+    }
+
+    private fun onSendFailed(event: FlowEvent.SendFailed, now: Long) {
+        val (flow, sent) = sentOf(event.send) ?: return
+        event.load?.let { plain.onLoad(sent.target, it, now) }
+        endSend(flow, sent)
+        when (val failure = event.failure) {
+            is SendFailure.NotSent -> {
+                onTargetFailure(sent, isDown = true, now)
+                sendAgain(flow, RejectReason.TARGETS_REFUSED, now)
+            }
+
+            is SendFailure.NotRun -> {
+                if (failure.status == INPUTS_GONE_STATUS && flow.stageRuns < MAX_STAGE_RUNS) {
+                    forgetHandles(flow)
+                    runStagesAgain(flow, now)
+                } else {
+                    sendAgain(flow, RejectReason.TARGETS_REFUSED, now)
+                }
+            }
+
+            is SendFailure.FailedAnswer -> {
+                flow.mayHaveRun = true
+                flow.hasHeldAnswer = true
+                flow.runs++
+                val isFault = failure.status >= FIRST_FAULT_STATUS
+                plain.onAnswer(sent.target, now - sent.sentMs, isFault, now)
+                if (isFault) runAgain(flow, now) else giveUp(flow, RejectReason.OUTCOME_UNKNOWN)
+            }
+
+            is SendFailure.Lost -> {
+                flow.mayHaveRun = true
+                flow.runs++
+                onTargetFailure(sent, isDown = false, now)
+                runAgain(flow, now)
+            }
+
+            is SendFailure.Broken -> onBroken(flow, sent, failure, now)
+        }
+    }
+
+    private fun onTargetFailure(sent: Sent, isDown: Boolean, now: Long) {
+        plain.onFailure(sent.target, isDown, now)
+        engines.onFailure(sent.target.id, isDown, now)
+    }
+
+    private fun onBroken(flow: Flow, sent: Sent, failure: SendFailure.Broken, now: Long) {
+        flow.mayHaveRun = true
+        flow.runs++
+        onTargetFailure(sent, isDown = false, now)
+        val mayResume = flow.request.route.isResumable && failure.isAtEvent && mayRunAgain(flow, now)
+        if (mayResume && budgetOf(flow.request.service).trySpend()) {
+            flow.lastEventId = failure.lastEventId ?: flow.lastEventId
+            flow.isBegun = true
+            forgetHandles(flow)
+            runStagesAgain(flow, now)
+        } else {
+            effects += FlowEffect.Cut(flow.request.flow)
+            end(flow, "cut: ${failure.cause}")
+        }
+    }
+
+    /** Sends a request again that did not run so far. */
+    private fun sendAgain(flow: Flow, reason: RejectReason, now: Long) {
+        val left = flow.request.deadlineMs - now
+        val mayTry = flow.sends < MAX_SENDS && left > LEAST_SEND_MS
+        if (mayTry && budgetOf(flow.request.service).trySpend()) send(flow, now) else giveUp(flow, reason)
+    }
+
+    private fun mayRunAgain(flow: Flow, now: Long): Boolean = flow.request.route.isIdempotent &&
+        flow.runs < flow.request.route.maxAttempts &&
+        flow.request.deadlineMs - now > LEAST_SEND_MS
+
+    private fun runAgain(flow: Flow, now: Long) {
+        if (mayRunAgain(flow, now) && budgetOf(flow.request.service).trySpend()) {
+            if (flow.request.route.stages.isEmpty()) send(flow, now) else runStagesAgain(flow, now)
+        } else {
+            giveUp(flow, RejectReason.OUTCOME_UNKNOWN)
+        }
+    }
+
+    private fun budgetOf(service: String) = budgets.getOrPut(service, newBudget)
+
+    private fun onTick(now: Long) {
+        flows.values.filter { it.request.deadlineMs <= now }.forEach { flow ->
+            if (flow.send != null) flow.mayHaveRun = true
+            flow.send?.let { effects += FlowEffect.CancelSend(it.id) }
+            giveUp(flow, RejectReason.DEADLINE)
+        }
+    }
+
+    /** Ends a request with the best answer that is true. */
+    private fun giveUp(flow: Flow, reason: RejectReason) {
+        val id = flow.request.flow
+        when {
+            flow.isBegun -> {
+                effects += FlowEffect.Cut(id)
+                end(flow, "cut: $reason")
+            }
+
+            flow.hasHeldAnswer -> {
+                effects += FlowEffect.DeliverFailure(id)
+                end(flow, "failed answer delivered")
+            }
+
+            flow.mayHaveRun -> {
+                val status = if (reason == RejectReason.DEADLINE) TIMEOUT_STATUS else UNKNOWN_STATUS
+                effects += FlowEffect.Reject(id, status, null, reason)
+                end(flow, "rejected: $reason")
+            }
+
+            else -> reject(flow, reason, RETRY_AFTER_MS)
+        }
+    }
+
+    private fun reject(flow: Flow, reason: RejectReason, retryAfterMs: Long) {
+        effects += FlowEffect.Reject(flow.request.flow, NOT_RUN_STATUS, retryAfterMs, reason)
+        end(flow, "rejected: $reason")
+    }
+
+    private fun abandon(flow: Flow, outcome: String) {
+        flow.send?.let { effects += FlowEffect.CancelSend(it.id) }
+        end(flow, outcome)
+    }
+
+    private fun end(flow: Flow, outcome: String) {
+        flow.send?.let { endSend(flow, it) }
+        cancelStages(flow)
+        freeAll(flow)
+        flows.remove(flow.request.flow)
+        effects += FlowEffect.Ended(flow.request.flow, outcome, flow.sends)
+    }
+
+    private fun endSend(flow: Flow, sent: Sent) {
+        if (flow.send !== sent) return
+        flow.send = null
+        plain.onEnd(sent.target)
+        engines.onEnd(sent.target.id)
+        if (!sent.isRead) engines.onRead(sent.target.id, sent.unread)
+    }
+
+    private fun cancelStages(flow: Flow) {
+        for ((job, number) in flow.jobs) {
+            flowOfJob.remove(job)
+            effects += FlowEffect.CancelStage(flow.request.route.stages[number].service, job)
+        }
+        flow.jobs.clear()
+        flow.startedStages.removeIf { flow.handles[it] == null }
+        if (flow.startedStages.any { flow.handles[it]?.isEmpty() == true }) {
+            freeAll(flow)
+            forgetHandles(flow)
+        }
+    }
+
+    private fun freeAll(flow: Flow) {
+        for (number in flow.handles.indices) {
+            val handles = flow.handles[number].orEmpty()
+            if (handles.isEmpty()) continue
+            effects += FlowEffect.FreeResults(flow.request.route.stages[number].service, handles)
+            flow.handles[number] = emptyList()
+        }
+    }
+
+    private fun forgetHandles(flow: Flow) {
+        freeAll(flow)
+        flow.handles.fill(null)
+        flow.startedStages.clear()
+    }
+
+    /** Takes in the load that a target told beside the answer to a request. */
+    fun onLoad(target: TargetEntry, load: ToldLoad, now: Long) = plain.onLoad(target, load, now)
+}
