Carry the link between hosts on Netty, since Ktor's datagrams came up to a second late

The new 'members' line showed peers going ALIVE and SUSPECT by turns, and datagrams taken in at whole seconds after the start. Change: PeerLink keeps its interface, frames and tests and runs on a Netty event loop, in a forwarding host the one that it has.

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -1,6 +1,6 @@
 /*
  * One host that forwards requests on the platform: puts the slices together, runs decisions on the control thread and
- * bytes on one event loop. It has no disk; what it has to know comes from the store, from its peers, or is lost with it.
+ * bytes on one event loop. It keeps nothing: what it has to know comes from the store or from its peers.
  */
 package org.sesamerouter.front
 
@@ -73,7 +73,7 @@
     internal val engines = EngineTable()
     private val plain = PlainTargets()
     internal val membership = Membership(firstRecord(), PROBE_INTERVAL_MS, Random())
-    internal val link = PeerLink(settings.linkAddress)
+    internal val link = PeerLink(settings.linkAddress, traffic)
     internal val peers = Peers(link, membership, loop, clock, log)
     private val store = StoreClient(settings.storeAddress, client, traffic)
     private val storeAdapter = StoreAdapter(store, traffic, loop, clock, log, directory, this)
@@ -93,6 +93,8 @@
     private var targetsByAddress: Map<String, TargetEntry> = emptyMap()
     private val servers = ArrayList<RequestServer>()
 
+    private var knownMembers: Map<String, String> = emptyMap()
+
     @Volatile
     private var addresses: List<String> = emptyList()
 
@@ -201,6 +203,7 @@
     }
 
     private fun publish() {
+        noteMembers()
         val ready = !isLeaving && config != null && directory.isReady
         if (ready != isReady) log.write("ready", "ready" to ready, "version" to config?.version)
         isReady = ready
@@ -212,6 +215,14 @@
             .map { it.http }.sorted()
     }
 
+    private fun noteMembers() {
+        val standing = membership.all().associate { it.host to "${it.status}${if (it.ready) "" else ", not ready"}" }
+        if (standing == knownMembers) return
+        val changed = standing.filter { knownMembers[it.key] != it.value }
+        knownMembers = standing
+        log.write("members", "changed" to changed, "known" to standing.size)
+    }
+
     private fun onReadyQuestion(request: IncomingRequest) {
         val status = when {
             request.uri.substringBefore('?') != READY_PATH -> NOT_FOUND
--- a/src/main/kotlin/front/NewsAdapter.kt
+++ b/src/main/kotlin/front/NewsAdapter.kt
@@ -82,7 +82,8 @@
         val engines = host.engines.takeNews(now)
         val pools = host.stages.news()
         val isNewVersion = version() != toldVersion
-        if (read == null && engines.isEmpty() && pools.isEmpty() && !isNewVersion) return
+        val isQuiet = engines.isEmpty() && pools.isEmpty()
+        if (read == null && isQuiet && !isNewVersion) return
         pendingRead = null
         toldVersion = version()
         val told = ServingRequest.News(host.self.host, version(), read, now - readMs, engines, pools)
--- a/src/main/kotlin/membership/PeerLink.kt
+++ b/src/main/kotlin/membership/PeerLink.kt
@@ -1,52 +1,44 @@
 /*
- * The network between hosts: Ktor sockets with CBOR. Datagrams carry membership; one TCP connection to each peer
- * carries requests, told apart by number. A frame has a version, a bounded size and a body; anything else closes the
- * connection and is counted.
+ * The network between hosts: Netty with CBOR. Datagrams carry membership; one TCP connection to each peer carries
+ * requests, told apart by number. A frame has a version, a bounded size and a body; anything else closes the connection
+ * and is counted. All of it happens on one event loop.
  */
 package org.sesamerouter.membership
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.BoundDatagramSocket
-import io.ktor.network.sockets.Datagram
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readByte
-import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeByte
-import io.ktor.utils.io.writeByteArray
-import io.ktor.utils.io.writeInt
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.asCoroutineDispatcher
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.sync.Mutex
-import kotlinx.coroutines.sync.withLock
-import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.io.Buffer
-import kotlinx.io.readByteArray
+import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioDatagramChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.ByteToMessageDecoder
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import org.slf4j.LoggerFactory
 import java.io.IOException
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.Executors
+import java.net.BindException
+import java.net.InetSocketAddress
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
 private const val FRAME_VERSION: Byte = 1
+private const val FRAME_HEADER_BYTES = 5
 private const val MAX_FRAME_BYTES = 16 * 1024 * 1024
-private const val CONNECT_TIMEOUT_MS = 1_000L
+private const val CONNECT_TIMEOUT_MS = 1_000
+private const val BIND_ATTEMPTS = 20
 
 /** How a request to a peer ended. */
 sealed interface PeerOutcome {
@@ -56,7 +48,7 @@
     data class Failed(val sent: Boolean) : PeerOutcome
 }
 
-/** Takes in what comes from peers, on a thread of the link. */
+/** Takes in what comes from peers, on the event loop of the link. */
 interface PeerHandler {
     /** A datagram came. */
     fun onProbe(message: ProbeMessage, from: String)
@@ -98,32 +90,32 @@
     null
 }
 
-/** The link of one host. */
-class PeerLink(private val listenAddress: String) {
-    private val executor = Executors.newFixedThreadPool(2) { Thread(it, "peer-link").apply { isDaemon = true } }
-    private val dispatcher = executor.asCoroutineDispatcher()
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val selector = SelectorManager(dispatcher)
-    private val connections = ConcurrentHashMap<String, PeerConnection>()
+/**
+ * The link of one host.
+ *
+ * @param shared event loop to use; without one the link runs its own.
+ */
+class PeerLink(private val listenAddress: String, private val shared: EventLoopGroup? = null) {
+    private val logger = LoggerFactory.getLogger(PeerLink::class.java)
+    private val group = shared ?: MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val connections = HashMap<String, PeerConnection>()
     private val bytesSent = AtomicLong()
     private val bytesReceived = AtomicLong()
     private val badFrames = AtomicLong()
-    private lateinit var server: ServerSocket
-    private lateinit var datagrams: BoundDatagramSocket
+    private lateinit var server: Channel
+    private lateinit var datagrams: Channel
 
     /** The address that the system gave, once started. */
     lateinit var address: String
         private set
 
     /** Listens and gives what comes to [handler]. */
-    fun start(handler: PeerHandler) = runBlocking {
+    fun start(handler: PeerHandler) {
         val ip = listenAddress.substringBeforeLast(':')
         val port = listenAddress.substringAfterLast(':').toInt()
-        bindBoth(ip, port)
-        val bound = (server.localAddress as InetSocketAddress).port
-        address = "$ip:$bound"
-        scope.launch { acceptAll(handler) }
-        scope.launch { receiveAll(handler) }
+        bindBoth(ip, port, handler)
+        address = "$ip:${(server.localAddress() as InetSocketAddress).port}"
     }
 
     /** Returns the counts so far. */
@@ -133,205 +125,222 @@
     fun sendProbe(send: ProbeSend) {
         val bytes = encodeProbe(send.message)
         bytesSent.addAndGet(bytes.size.toLong())
-        scope.launch {
-            try {
-                val to = InetSocketAddress(send.to.substringBeforeLast(':'), send.to.substringAfterLast(':').toInt())
-                datagrams.send(Datagram(Buffer().apply { write(bytes) }, to))
-            } catch (e: CancellationException) {
-                throw e
-            } catch (_: Exception) {
-                badFrames.incrementAndGet()
-            }
+        datagrams.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), resolve(send.to))).addListener {
+            if (!it.isSuccess) logger.debug("a datagram to {} was not sent", send.to, it.cause())
         }
     }
 
     /** Sends [request] to the peer at [to] and gives the outcome to [done] within [timeoutMs]. */
     fun request(to: String, request: PeerRequest, timeoutMs: Long, done: (PeerOutcome) -> Unit) {
-        val job = scope.launch { done(exchange(to, request, timeoutMs)) }
-        if (job.isCancelled) done(PeerOutcome.Failed(sent = false))
+        try {
+            loop.execute { connectionTo(to).exchange(request, timeoutMs, done) }
+        } catch (_: RejectedExecutionException) {
+            done(PeerOutcome.Failed(sent = false))
+        }
     }
 
     /** Closes the connection to [peer], whose silence was noticed; requests that wait for it fail. */
-    fun drop(peer: String) {
-        connections.remove(peer)?.close()
-    }
+    fun drop(peer: String) = loop.execute { connections.remove(peer)?.close() }
 
     /** Closes every socket. */
     fun close() {
-        scope.cancel()
-        connections.values.forEach { it.close() }
         if (::server.isInitialized) server.close()
         if (::datagrams.isInitialized) datagrams.close()
-        selector.close()
-        executor.shutdown()
+        try {
+            loop.execute { connections.values.toList().forEach { it.close() } }
+        } catch (_: RejectedExecutionException) {
+            logger.debug("the event loop was closed before the link")
+        }
+        if (shared == null) group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
 
-    private suspend fun bindBoth(ip: String, port: Int) {
-        var last: IOException? = null
+    private fun bindBoth(ip: String, port: Int, handler: PeerHandler) {
+        var last: Exception? = null
         repeat(if (port == 0) BIND_ATTEMPTS else 1) {
-            val tcp = aSocket(selector).tcp().bind(InetSocketAddress(ip, port))
-            val chosen = (tcp.localAddress as InetSocketAddress).port
+            val tcp = listen(ip, port, handler)
             try {
-                datagrams = aSocket(selector).udp().bind(InetSocketAddress(ip, chosen))
+                datagrams = listenForDatagrams(ip, (tcp.localAddress() as InetSocketAddress).port, handler)
                 server = tcp
                 return
-            } catch (e: IOException) {
+            } catch (e: BindException) {
                 last = e
-                tcp.close()
+                tcp.close().syncUninterruptibly()
             }
         }
         throw IOException("No port of $ip is free for TCP and UDP; set listen.peer to another address.", last)
     }
 
-    private suspend fun acceptAll(handler: PeerHandler) {
-        while (true) {
-            val socket = server.accept()
-            scope.launch { serve(socket, handler) }
+    private fun listen(ip: String, port: Int, handler: PeerHandler): Channel = ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                channel.pipeline().addLast(FrameDecoder()).addLast(RequestHandler(handler))
+            }
+        })
+        .bind(InetSocketAddress(ip, port))
+        .syncUninterruptibly()
+        .channel()
+
+    private fun listenForDatagrams(ip: String, port: Int, handler: PeerHandler): Channel = Bootstrap()
+        .group(loop)
+        .channel(NioDatagramChannel::class.java)
+        .handler(object : SimpleChannelInboundHandler<DatagramPacket>() {
+            override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) = onDatagram(packet, handler)
+        })
+        .bind(InetSocketAddress(ip, port))
+        .syncUninterruptibly()
+        .channel()
+
+    private fun onDatagram(packet: DatagramPacket, handler: PeerHandler) {
+        val bytes = ByteArray(packet.content().readableBytes()).also { packet.content().readBytes(it) }
+        bytesReceived.addAndGet(bytes.size.toLong())
+        val message = decodeProbe(bytes)
+        if (message == null) {
+            badFrames.incrementAndGet()
+        } else {
+            val from = packet.sender()
+            handler.onProbe(message, "${from.address.hostAddress}:${from.port}")
         }
     }
 
-    private suspend fun serve(socket: Socket, handler: PeerHandler) {
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel()
-        val writing = Mutex()
-        try {
-            while (true) {
-                val frame = readFrame(input) ?: break
-                val request = frame.request ?: break
-                handler.onRequest(request) { reply ->
-                    scope.launch { tryWrite(output, writing, PeerFrame(frame.id, reply = reply)) }
-                }
-            }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (_: Exception) {
-            // The peer is gone; whoever waits for its replies has its own timeout.
-        } finally {
-            socket.close()
+    private fun connectionTo(peer: String): PeerConnection {
+        connections[peer]?.let { if (it.isOpen) return it }
+        return PeerConnection(peer).also {
+            connections[peer] = it
+            it.connect()
         }
     }
 
-    private suspend fun tryWrite(output: ByteWriteChannel, writing: Mutex, frame: PeerFrame): Boolean = try {
-        writing.withLock { writeFrame(output, frame) }
-        true
-    } catch (e: CancellationException) {
-        throw e
-    } catch (_: Exception) {
-        false
+    private fun resolve(address: String) =
+        InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun encode(frame: PeerFrame): ByteBuf {
+        val bytes = cbor.encodeToByteArray(PeerFrame.serializer(), frame)
+        bytesSent.addAndGet(bytes.size.toLong() + FRAME_HEADER_BYTES)
+        val head = Unpooled.buffer(FRAME_HEADER_BYTES).writeByte(FRAME_VERSION.toInt()).writeInt(bytes.size)
+        return Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(bytes))
     }
 
-    private suspend fun receiveAll(handler: PeerHandler) {
-        while (true) {
-            val datagram = datagrams.receive()
-            val bytes = datagram.packet.readByteArray()
-            bytesReceived.addAndGet(bytes.size.toLong())
-            val from = datagram.address as InetSocketAddress
-            val message = decodeProbe(bytes)
-            if (message ==
-                null
-            ) {
-                badFrames.incrementAndGet()
-            } else {
-                handler.onProbe(message, "${from.hostname}:${from.port}")
+    /** Turns bytes into frames; the first that is none closes the connection. */
+    private inner class FrameDecoder : ByteToMessageDecoder() {
+        @OptIn(ExperimentalSerializationApi::class)
+        override fun decode(ctx: ChannelHandlerContext, input: ByteBuf, out: MutableList<Any>) {
+            if (input.readableBytes() < FRAME_HEADER_BYTES) return
+            val version = input.getByte(input.readerIndex())
+            val size = input.getInt(input.readerIndex() + 1)
+            if (version != FRAME_VERSION || size !in 0..MAX_FRAME_BYTES) {
+                reject(ctx, input)
+                return
             }
+            if (input.readableBytes() < FRAME_HEADER_BYTES + size) return
+            input.skipBytes(FRAME_HEADER_BYTES)
+            val bytes = ByteArray(size).also { input.readBytes(it) }
+            bytesReceived.addAndGet(size.toLong() + FRAME_HEADER_BYTES)
+            val frame = decodeOrNull { cbor.decodeFromByteArray(PeerFrame.serializer(), bytes) }
+            if (frame == null) reject(ctx, input) else out += frame
         }
-    }
 
-    private suspend fun exchange(to: String, request: PeerRequest, timeoutMs: Long): PeerOutcome {
-        val connection = connect(to) ?: return PeerOutcome.Failed(sent = false)
-        return connection.exchange(request, timeoutMs)
+        private fun reject(ctx: ChannelHandlerContext, input: ByteBuf) {
+            badFrames.incrementAndGet()
+            input.skipBytes(input.readableBytes())
+            ctx.close()
+        }
     }
 
-    private suspend fun connect(to: String): PeerConnection? {
-        connections[to]?.let { if (it.isOpen) return it }
-        val socket = try {
-            withTimeoutOrNull(CONNECT_TIMEOUT_MS) {
-                aSocket(selector).tcp().connect(InetSocketAddress(to.substringBeforeLast(':'), portOf(to)))
+    private inner class RequestHandler(private val handler: PeerHandler) : SimpleChannelInboundHandler<PeerFrame>() {
+        override fun channelRead0(ctx: ChannelHandlerContext, frame: PeerFrame) {
+            val request = frame.request
+            if (request == null) {
+                ctx.close()
+                return
             }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (_: Exception) {
-            null
+            handler.onRequest(request) { reply -> ctx.writeAndFlush(encode(PeerFrame(frame.id, reply = reply))) }
         }
-        return socket?.let { PeerConnection(it) }?.also { connections[to] = it }
-    }
 
-    private fun portOf(address: String) = address.substringAfterLast(':').toInt()
-
-    @OptIn(ExperimentalSerializationApi::class)
-    private suspend fun writeFrame(output: ByteWriteChannel, frame: PeerFrame) {
-        val bytes = cbor.encodeToByteArray(PeerFrame.serializer(), frame)
-        output.writeByte(FRAME_VERSION)
-        output.writeInt(bytes.size)
-        output.writeByteArray(bytes)
-        output.flush()
-        bytesSent.addAndGet(bytes.size + FRAME_HEADER_BYTES)
-    }
-
-    @OptIn(ExperimentalSerializationApi::class)
-    private suspend fun readFrame(input: ByteReadChannel): PeerFrame? {
-        val version = input.readByte()
-        val size = input.readInt()
-        if (version != FRAME_VERSION || size !in 0..MAX_FRAME_BYTES) {
-            badFrames.incrementAndGet()
-            return null
+        /** The peer is gone; whoever waits for its replies has its own timeout. */
+        @Deprecated("Netty still calls it.")
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+            ctx.close()
         }
-        val bytes = input.readByteArray(size)
-        bytesReceived.addAndGet(size + FRAME_HEADER_BYTES)
-        val frame = decodeOrNull { cbor.decodeFromByteArray(PeerFrame.serializer(), bytes) }
-        if (frame == null) badFrames.incrementAndGet()
-        return frame
     }
 
-    private inner class PeerConnection(private val socket: Socket) {
-        private val output = socket.openWriteChannel()
-        private val writing = Mutex()
-        private val waiting = ConcurrentHashMap<Long, CompletableDeferred<PeerReply?>>()
-        private val ids = AtomicLong()
-        private val reading: Job = scope.launch { readReplies() }
+    private class Waiting(val done: (PeerOutcome) -> Unit, val timeout: java.util.concurrent.Future<*>)
+
+    private inner class PeerConnection(private val peer: String) : SimpleChannelInboundHandler<PeerFrame>() {
+        private val waiting = HashMap<Long, Waiting>()
+        private val unsent = ArrayList<PeerFrame>()
+        private var channel: Channel? = null
+        private var sequence = 0L
 
-        @Volatile
         var isOpen = true
             private set
 
-        suspend fun exchange(request: PeerRequest, timeoutMs: Long): PeerOutcome {
-            val id = ids.incrementAndGet()
-            val reply = CompletableDeferred<PeerReply?>()
-            waiting[id] = reply
-            if (!isOpen || !tryWrite(output, writing, PeerFrame(id, request = request))) close()
-            val got = withTimeoutOrNull(timeoutMs) { reply.await() }
-            waiting.remove(id)
-            return if (got == null) PeerOutcome.Failed(sent = true) else PeerOutcome.Replied(got)
+        fun connect() {
+            val connecting = Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel.pipeline().addLast(FrameDecoder()).addLast(this@PeerConnection)
+                    }
+                })
+                .connect(resolve(peer))
+            connecting.addListener {
+                if (connecting.isSuccess && isOpen) {
+                    channel = connecting.channel()
+                    unsent.forEach { connecting.channel().writeAndFlush(encode(it)) }
+                    unsent.clear()
+                } else {
+                    connecting.channel().close()
+                    close()
+                }
+            }
+        }
+
+        fun exchange(request: PeerRequest, timeoutMs: Long, done: (PeerOutcome) -> Unit) {
+            val id = ++sequence
+            val timeout = loop.schedule({ expire(id) }, timeoutMs, TimeUnit.MILLISECONDS)
+            waiting[id] = Waiting(done, timeout)
+            val frame = PeerFrame(id, request = request)
+            val open = channel
+            if (open == null) unsent += frame else open.writeAndFlush(encode(frame))
         }
 
         fun close() {
+            if (!isOpen) return
             isOpen = false
-            reading.cancel()
-            socket.close()
-            waiting.values.forEach { it.complete(null) }
+            channel?.close()
+            val isSent = channel != null
+            val left = waiting.values.toList()
+            waiting.clear()
+            left.forEach {
+                it.timeout.cancel(false)
+                it.done(PeerOutcome.Failed(isSent))
+            }
         }
 
-        private suspend fun readReplies() {
-            val input = socket.openReadChannel()
-            try {
-                while (true) {
-                    val frame = readFrame(input) ?: break
-                    frame.reply?.let { waiting.remove(frame.id)?.complete(it) }
-                }
-            } catch (e: CancellationException) {
-                throw e
-            } catch (_: Exception) {
-                // The peer is gone; those who wait are told below.
-            } finally {
-                isOpen = false
-                socket.close()
-                waiting.values.forEach { it.complete(null) }
-            }
+        private fun expire(id: Long) {
+            waiting.remove(id)?.done?.invoke(PeerOutcome.Failed(sent = channel != null))
+        }
+
+        override fun channelRead0(ctx: ChannelHandlerContext, frame: PeerFrame) {
+            val reply = frame.reply ?: return
+            val waited = waiting.remove(frame.id) ?: return
+            waited.timeout.cancel(false)
+            waited.done(PeerOutcome.Replied(reply))
         }
-    }
 
-    private companion object {
-        const val BIND_ATTEMPTS = 20
-        const val FRAME_HEADER_BYTES = 5L
+        override fun channelInactive(ctx: ChannelHandlerContext) = close()
+
+        @Deprecated("Netty still calls it.")
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+            ctx.close()
+        }
     }
 }
