--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -1,7 +1,9 @@
 /*
  * The queue of one stage pool. One host owns it, the others send it their pieces, so that calls are filled from all
- * hosts. A call is closed when a target of the pool is free, not before. Jobs that can still meet their objective go
- * first, then by rank, then by latest start. A state machine without I/O.
+ * hosts. A call is closed when a target of the pool is free, not before. Of the jobs that wait, as many as the pool can
+ * finish in time go first, by the time at which they have to be done; where it cannot finish all, the lowest ranks are
+ * left out. What is left out fills free places, and calls of its own when the pool has targets to spare. A state machine
+ * without I/O.
  */
 package org.sesamerouter.batching
 
@@ -11,10 +13,16 @@
 
 private const val MAX_TRIES = 4
 private const val FAILED_TARGET_REST_MS = 800L
-private const val FULL_TARGET_REST_MS = 120L
+private const val FULL_TARGET_REST_MS = 60L
 private const val SLOW_FACTOR = 1.8 // a target this much slower than its peers is used only when they are full
 private const val OVERDUE_FACTOR = 2.5 // a call this much over its expected time makes its target slow
 private const val SPEED_WEIGHT = 0.4
+private const val LATE_PATIENCE_MS = 250L // most late jobs find a free place in a call before that
+private const val FULL_ROOM_MS = 400L // results are read by their consumer within about this
+private const val LARGE_RESULT_BYTES = 100_000L
+private const val ROOM_PATIENCE_MS = 300L // results in the way are freed within about this
+private const val SMALL_CALL_SHARE = 3 // a call of less than one in this many places wastes most of its fixed time
+private const val SPLIT_SHARE = 4 // a job is split when more than one in this many places would stay empty
 
 /** One piece; pieces without inputs start from [key]. */
 @Serializable
@@ -26,6 +34,7 @@
  * @property request the caller's id of the request.
  * @property aimLeftMs time until the stage has to be done for the request to meet its objective.
  * @property deadlineLeftMs time until the result is of no use.
+ * @property stagesLeft stages of the request that follow this one.
  */
 @Serializable
 data class StageJob(
@@ -38,11 +47,12 @@
     val rank: Int,
     val aimLeftMs: Long,
     val deadlineLeftMs: Long,
+    val stagesLeft: Int = 0,
 )
 
 /** Why a job ended without results. */
 @Serializable
-enum class JobFailure { LATE, INPUT_GONE, FAILED, CANCELLED }
+enum class JobFailure { LATE, INPUT_GONE, FAILED, CANCELLED, MOVED }
 
 /** Results of a job in the order of its pieces, or why there are none. */
 @Serializable
@@ -81,14 +91,19 @@
     data class Call(val call: Long, val target: TargetEntry, val items: List<CallItem>, val timeoutMs: Long) :
         PoolEffect
 
-    data class Free(val target: TargetEntry, val handles: List<String>) : PoolEffect
+    /** Frees [handles]; [release] is to be given back once the target has done so. */
+    data class Free(val release: Long, val target: TargetEntry, val handles: List<String>) : PoolEffect
 
     data class Done(val job: String, val outcome: JobOutcome) : PoolEffect
 }
 
 /** The queue of the pool [service]. Not thread-safe. */
 class PieceQueue(val service: String, private var spec: BatchSpec) {
-    private class Job(val spec: StageJob, val aimMs: Long, val deadlineMs: Long, val sequence: Long) {
+    private class Job(val spec: StageJob, val addedMs: Long, val sequence: Long) {
+        val aimMs = addedMs + spec.aimLeftMs
+        val deadlineMs = addedMs + spec.deadlineLeftMs
+        val waiting = ArrayList<Item>()
+        val isBegun get() = running > 0 || handles.any { it != null }
         val handles = arrayOfNulls<String>(spec.pieces.size)
         var isEnded = false
         var running = 0
@@ -106,21 +121,25 @@
         var usedBytes = 0L
         var slowness = 1.0
         var restUntilMs = 0L
+        var fullUntilMs = 0L
         var isListed = true
     }
 
+    private class Release(val target: Target, val bytes: Long)
+
     private class Result(val target: Target, val bytes: Long)
 
     private val targets = LinkedHashMap<String, Target>()
     private val jobs = HashMap<String, Job>()
-    private val queue = ArrayList<Item>()
     private val running = HashMap<Long, Running>()
     private val results = HashMap<String, Result>()
+    private val releases = HashMap<Long, Release>()
     private val effects = ArrayList<PoolEffect>()
     private var sequence = 0L
 
     /** Pieces that wait for a call. */
-    val waiting: Int get() = queue.size
+    var waiting = 0
+        private set
 
     /** Calls in progress. */
     val calls: Int get() = running.size
@@ -135,7 +154,7 @@
     fun expectedMs(): Double {
         val usable = maxOf(1, targets.values.count { it.isListed })
         val callMs = spec.expectedMs(spec.maxPieces)
-        return queue.size / (usable * spec.maxPieces.toDouble()) * callMs + spec.expectedMs(spec.maxPieces / 2 + 1)
+        return waiting / (usable * spec.maxPieces.toDouble()) * callMs + spec.expectedMs(spec.maxPieces / 2 + 1)
     }
 
     /** Takes over the pool's bounds. */
@@ -161,9 +180,16 @@
 
     /** Adds the pieces of [job]. */
     fun submit(job: StageJob, now: Long): List<PoolEffect> {
-        val added = Job(job, now + job.aimLeftMs, now + job.deadlineLeftMs, sequence++)
+        val added = Job(job, now, sequence++)
         jobs[job.job] = added
-        job.pieces.indices.forEach { queue += Item(added, it) }
+        job.pieces.indices.forEach { enqueue(Item(added, it)) }
+        return pump(now)
+    }
+
+    /** Hands back the jobs of which nothing was begun, for another owner. */
+    fun handBack(now: Long): List<PoolEffect> {
+        jobs.values.filter { job -> job.running == 0 && job.handles.all { it == null } }
+            .forEach { end(it, JobOutcome(failure = JobFailure.MOVED)) }
         return pump(now)
     }
 
@@ -180,6 +206,13 @@
         return pump(now) to foreign
     }
 
+    /** Takes in that a target has freed results; only then is there room for others. */
+    fun onFreed(release: Long, now: Long): List<PoolEffect> {
+        val freed = releases.remove(release) ?: return emptyList()
+        freed.target.usedBytes -= freed.bytes
+        return pump(now)
+    }
+
     /** Takes in the end of a call. */
     fun onCallEnded(call: Long, outcome: CallOutcome, now: Long): List<PoolEffect> {
         val run = running.remove(call) ?: return emptyList()
@@ -233,8 +266,8 @@
             PieceOutcome.InputGone -> end(item.job, JobOutcome(failure = JobFailure.INPUT_GONE))
 
             PieceOutcome.NoRoom -> {
-                run.target.restUntilMs = now + FULL_TARGET_REST_MS
-                if (!item.job.isEnded) queue += item
+                run.target.fullUntilMs = now + FULL_ROOM_MS
+                if (!item.job.isEnded) enqueue(item)
             }
 
             PieceOutcome.Failed -> retry(item)
@@ -266,14 +299,15 @@
     private fun retry(item: Item) {
         if (item.job.isEnded) return
         item.tries++
-        if (item.tries >= MAX_TRIES) end(item.job, JobOutcome(failure = JobFailure.FAILED)) else queue += item
+        if (item.tries >= MAX_TRIES) end(item.job, JobOutcome(failure = JobFailure.FAILED)) else enqueue(item)
     }
 
     private fun end(job: Job, outcome: JobOutcome) {
         if (job.isEnded) return
         job.isEnded = true
         jobs.remove(job.spec.job)
-        queue.removeIf { it.job === job }
+        waiting -= job.waiting.size
+        job.waiting.clear()
         release(job.handles.filterNotNull())
         effects += PoolEffect.Done(job.spec.job, outcome)
     }
@@ -281,62 +315,134 @@
     private fun release(handles: List<String>) {
         val byTarget = handles.mapNotNull { h -> results.remove(h)?.let { it to h } }.groupBy({ it.first.target })
         for ((target, freed) in byTarget) {
-            freed.forEach { target.usedBytes -= it.first.bytes }
-            effects += PoolEffect.Free(target.entry, freed.map { it.second })
+            val id = sequence++
+            releases[id] = Release(target, freed.sumOf { it.first.bytes })
+            effects += PoolEffect.Free(id, target.entry, freed.map { it.second })
         }
     }
 
+    private fun enqueue(item: Item) {
+        item.job.waiting += item
+        waiting++
+    }
+
     private fun pump(now: Long): List<PoolEffect> {
-        while (queue.isNotEmpty()) {
-            val target = nextTarget(now) ?: break
-            val items = nextItems(target, now)
-            if (items.isEmpty()) break
-            start(target, items, now)
+        while (waiting > 0 && startNext(now)) {
+            // Each call that starts changes what the next one holds.
         }
         val out = effects.toList()
         effects.clear()
         return out
     }
 
-    private fun nextTarget(now: Long): Target? {
-        val usable = targets.values.filter { it.isListed && it.restUntilMs <= now }
-        val free = usable.filter { it.calls < spec.slots }
-        val best = free.minWithOrNull(compareBy({ it.slowness > SLOW_FACTOR }, { it.usedBytes })) ?: return null
-        if (best.slowness <= SLOW_FACTOR) return best
-        val soundOnes = usable.filter { it.slowness <= SLOW_FACTOR }
-        val soonFull = soundOnes.isEmpty() || queue.size > soundOnes.size * spec.maxPieces
-        return best.takeIf { soonFull }
+    private fun startNext(now: Long): Boolean {
+        val free = freeTargets(now)
+        if (free.isEmpty()) return false
+        val order = jobOrder(now)
+        for (target in free) {
+            val items = nextItems(target, order, now)
+            if (items.isEmpty()) continue
+            start(target, items, now)
+            return true
+        }
+        return false
     }
 
-    private fun nextItems(target: Target, now: Long): List<Item> {
-        val order = compareBy<Item>(
-            { it.job.aimMs < now },
-            { it.job.spec.rank },
-            { it.job.aimMs },
-            { it.job.sequence },
-            { it.index },
-        )
-        queue.sortWith(order)
+    private fun usableTargets(now: Long) = targets.values.filter { it.isListed && it.restUntilMs <= now }
+
+    /** Targets that may take a call, the best first. Slow ones are used only when the others would be full. */
+    private fun freeTargets(now: Long): List<Target> {
+        val usable = usableTargets(now)
+        val soundOnes = usable.count { it.slowness <= SLOW_FACTOR }
+        val needsSlow = soundOnes == 0 || waiting > soundOnes * spec.maxPieces
+        return usable.filter { it.calls < spec.slots && (needsSlow || it.slowness <= SLOW_FACTOR) }
+            .sortedWith(compareBy({ it.slowness > SLOW_FACTOR }, { it.usedBytes }))
+    }
+
+    /** Jobs that were begun hold room without being of use, so they come first. */
+    private fun jobOrder(now: Long): List<Job> {
+        val (begun, fresh) = jobs.values.filter { it.waiting.isNotEmpty() }.partition { it.isBegun }
+        val timely = timelyJobs(fresh, begun.sumOf { it.waiting.size }, now)
+        val late = fresh.filter { it !in timely }
+            .sortedWith(compareBy({ it.spec.stagesLeft }, { it.spec.rank }, { it.sequence }))
+        val urgent = begun.sortedBy { it.aimMs } + timely.sortedBy { it.aimMs }
+        return if (urgent.isEmpty() && !mayStartLate(late, now)) emptyList() else urgent + late
+    }
+
+    private fun nextItems(target: Target, order: List<Job>, now: Long): List<Item> {
         val picked = ArrayList<Item>()
         var room = spec.roomBytes - target.usedBytes
-        for (item in queue) {
-            if (picked.size >= spec.maxPieces) break
-            if (item.job.spec.resultBytes > room) continue
-            room -= item.job.spec.resultBytes
-            picked += item
+        if (target.fullUntilMs > now) room = minOf(room, LARGE_RESULT_BYTES)
+        var lacksRoom = false
+        for (job in order) {
+            val places = spec.maxPieces - picked.size
+            if (places == 0) break
+            val fitting = if (job.spec.resultBytes == 0L) Int.MAX_VALUE else (room / job.spec.resultBytes).toInt()
+            val count = minOf(places, fitting, job.waiting.size)
+            if (fitting < minOf(places, job.waiting.size)) lacksRoom = true
+            val isSplit = count < job.waiting.size
+            if (count <= 0 || (isSplit && !mayBeSplit(job, places, fitting))) continue
+            picked += job.waiting.take(count)
+            room -= count * job.spec.resultBytes
+        }
+        val isSmall = picked.size * SMALL_CALL_SHARE < minOf(waiting, spec.maxPieces)
+        val isPatient = order.firstOrNull()?.let { now - it.addedMs < ROOM_PATIENCE_MS } ?: true
+        return if (lacksRoom && isSmall && isPatient && target.usedBytes > 0) emptyList() else picked
+    }
+
+    private fun mayBeSplit(job: Job, places: Int, fitting: Int): Boolean = job.isBegun ||
+        job.spec.pieces.size > spec.maxPieces ||
+        job.spec.pieces.size * job.spec.resultBytes > spec.roomBytes ||
+        (places * SPLIT_SHARE > spec.maxPieces && fitting >= places)
+
+    /** Late jobs alone start a call only when a job that is in time would still find a free target. */
+    private fun mayStartLate(late: List<Job>, now: Long): Boolean {
+        val free = usableTargets(now).count { it.calls < spec.slots }
+        return free > 1 || late.sumOf { it.waiting.size } >= spec.maxPieces ||
+            late.any { now - it.addedMs >= LATE_PATIENCE_MS }
+    }
+
+    /**
+     * Returns the jobs that the pool can finish in time. Jobs are scheduled by the time at which they have to be done;
+     * whenever one would be late, the lowest rank of those scheduled so far is left out, the newest first.
+     */
+    private fun timelyJobs(queued: List<Job>, ahead: Int, now: Long): Set<Job> {
+        val freeMs = usableTargets(now).map { freeAtMs(it, now) }.sorted()
+        if (freeMs.isEmpty()) return emptySet()
+        val timely = LinkedHashSet<Job>()
+        var pieces = ahead
+        for (job in queued.sortedBy { it.aimMs }) {
+            timely += job
+            pieces += job.waiting.size
+            if (finishMs(pieces, freeMs) <= job.aimMs) continue
+            val leftOut = timely.maxWith(compareBy({ it.spec.rank }, { it.sequence }))
+            timely -= leftOut
+            pieces -= leftOut.waiting.size
         }
-        // A result that never fits has to be tried on an empty target, which then tells that it has no room.
-        if (picked.isEmpty() && target.usedBytes == 0L) picked += queue.first()
-        return picked
+        return timely
+    }
+
+    private fun freeAtMs(target: Target, now: Long): Double {
+        val run = running.values.firstOrNull { it.target === target } ?: return now.toDouble()
+        return maxOf(now.toDouble(), run.startedMs + run.expectedMs * maxOf(1.0, target.slowness))
+    }
+
+    /** When the last of [pieces] is done if full calls start as targets get free. */
+    private fun finishMs(pieces: Int, freeMs: List<Double>): Double {
+        val call = (pieces - 1) / spec.maxPieces
+        val rounds = call / freeMs.size
+        val start = freeMs[call % freeMs.size] + rounds * spec.expectedMs(spec.maxPieces)
+        return start + spec.expectedMs(pieces - call * spec.maxPieces)
     }
 
     private fun start(target: Target, items: List<Item>, now: Long) {
-        queue.removeAll(items.toSet())
         target.calls++
         items.forEach {
+            it.job.waiting -= it
             target.usedBytes += it.job.spec.resultBytes
             it.job.running++
         }
+        waiting -= items.size
         callCount++
         pieceCount += items.size
         val call = sequence++
--- a/src/main/kotlin/discovery/TargetDirectory.kt
+++ b/src/main/kotlin/discovery/TargetDirectory.kt
@@ -42,23 +42,27 @@
     private val known = HashMap<String, Known>()
     private val lapsed = HashMap<String, Long>()
     private var awaySinceMs = -1L
-    private var holdUntilMs = Long.MIN_VALUE
-    private var returnedMs = Long.MIN_VALUE
+    private var holdUntilMs = Long.MIN_VALUE / 2
+    private var returnedMs = Long.MIN_VALUE / 2
 
     /** Offset up to which the stream is known; -1 before the first full read. */
     var position = -1L
         private set
 
-    /** When the newest known read was made. */
+    /** When the newest read was made that left nothing out here. */
     var freshMs = Long.MIN_VALUE / 2
         private set
 
+    /** When any host read the store last. */
+    private var storeSeenMs = Long.MIN_VALUE / 2
+
     /** All targets by id, draining ones included. */
     var targets: Map<String, TargetEntry> = emptyMap()
         private set
 
-    /** Whether a full read is known. */
-    val isReady: Boolean get() = position >= 0
+    /** Whether a full read was ever known. */
+    var isReady = false
+        private set
 
     /** Takes in a read made [ageMs] ago, by this host or a peer. Returns the changes that were news here. */
     fun onRead(read: EntryRead, ageMs: Long, now: Long): List<EntryChange> {
@@ -66,11 +70,22 @@
         val news = read.changes.filter { isNews(it) }
         news.forEach { apply(it, now) }
         val gone = if (read.full) dropMissing(read, now) else emptyList()
-        if (read.full || (position in read.from..read.end)) position = maxOf(position, read.end)
+        if (read.full || (position in read.from..read.end)) {
+            position = maxOf(position, read.end)
+            isReady = true
+            freshMs = maxOf(freshMs, now - ageMs)
+        }
         publish(now)
         return news + gone
     }
 
+    /** Returns all targets as a full read, for a host that cannot read the store; null before the first full read. */
+    fun snapshot(): EntryRead? {
+        if (position < 0) return null
+        val changes = known.mapNotNull { (id, of) -> of.entry?.let { EntryChange(id, of.offset, it) } }
+        return EntryRead(0, position, full = true, changes)
+    }
+
     /** Forgets the position, so that the next read is a full one. */
     fun onHistoryLost() {
         position = -1
@@ -78,7 +93,7 @@
 
     /** Lets time go on; returns true when the targets changed. */
     fun onTick(now: Long): Boolean {
-        if (isReady && awaySinceMs < 0 && now - freshMs >= STORE_AWAY_MS) awaySinceMs = now
+        if (isReady && awaySinceMs < 0 && now - storeSeenMs >= STORE_AWAY_MS) awaySinceMs = now
         if (lapsed.isEmpty()) return false
         val ended = lapsed.filterValues { it <= now }.keys
         ended.forEach { id ->
@@ -93,13 +108,13 @@
     val isStoreAway: Boolean get() = awaySinceMs >= 0
 
     private fun noteStore(readMs: Long, now: Long) {
-        if (readMs <= freshMs) return
+        if (readMs <= storeSeenMs) return
         if (awaySinceMs in 0..readMs) {
             awaySinceMs = -1
             returnedMs = now
             holdUntilMs = now + RETURN_HOLD_MS
         }
-        freshMs = readMs
+        storeSeenMs = readMs
     }
 
     private fun isNews(change: EntryChange): Boolean {
@@ -140,7 +155,8 @@
 
     private fun publish(now: Long) {
         targets = known.mapNotNull { (id, of) -> of.entry?.let { id to it } }.toMap()
-        if (known.size > MAX_REMEMBERED) known.values.removeIf { it.entry == null && now - freshMs < STORE_AWAY_MS }
+        if (known.size <= MAX_REMEMBERED || now - storeSeenMs >= STORE_AWAY_MS) return
+        known.values.removeIf { it.entry == null }
     }
 
     private companion object {
--- a/src/main/kotlin/engine/EngineTable.kt
+++ b/src/main/kotlin/engine/EngineTable.kt
@@ -8,7 +8,8 @@
 import kotlinx.serialization.Serializable
 import org.sesamerouter.discovery.TargetEntry
 
-private const val READ_TOKENS_PER_MS = 80.0 // of the engines seen; only its ratio to the other terms matters
+/** How fast an engine reads a prompt; of the engines seen. */
+const val READ_TOKENS_PER_MS = 80.0
 private const val STREAM_MS = 6.0 // what one more running stream delays a prompt
 private const val CROSSING_MS_PER_MB = 25.0 // what a result that crosses data centres may cost in waiting
 private const val NEWS_LIFE_MS = 2_000L
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -164,7 +164,11 @@
         isReady = false
         servers.forEach { it.isClosing = true }
         log.write("stop", "grace-ms" to settings.graceMs)
-        onLoop { membership.updateSelf(spread = true) { it.copy(leaving = true, ready = false) } }
+        onLoop {
+            membership.updateSelf(spread = true) { it.copy(leaving = true, ready = false) }
+            news.tellLeaving()
+            stages.handBack()
+        }
         val last = began + settings.graceMs - STOP_MARGIN_MS
         while (clock.nowMs() < last) {
             val busy = onLoop { flows.inProgress + stages.remoteJobs }
@@ -393,6 +397,8 @@
         }
 
         override fun stageMs(service: String) = stages.stageMs(service)
+
+        override fun idleStageMs(service: String) = stages.idleStageMs(service)
     }
 }
 
--- a/src/main/kotlin/front/NewsAdapter.kt
+++ b/src/main/kotlin/front/NewsAdapter.kt
@@ -5,7 +5,6 @@
  */
 package org.sesamerouter.front
 
-import org.sesamerouter.discovery.EntryChange
 import org.sesamerouter.discovery.EntryRead
 import org.sesamerouter.membership.PeerHandler
 import org.sesamerouter.membership.PeerOutcome
@@ -74,6 +73,11 @@
         nextMs = 0
     }
 
+    /** Tells the other hosts at once that this one leaves, so that they give it no more work. */
+    fun tellLeaving() {
+        others().forEach { host.link.sendProbe(host.membership.ping(it)) }
+    }
+
     /** Tells the other hosts what is new. */
     fun onTick(now: Long) {
         if (now < nextMs) return
@@ -118,9 +122,7 @@
     }
 
     private fun state(): StateReply {
-        val directory = host.directory
-        val changes = directory.targets.values.map { EntryChange(it.id, directory.position, it) }
-        val read = EntryRead(0, directory.position, true, changes).takeIf { directory.isReady }
-        return StateReply(host.configText, read, host.clock.nowMs() - directory.freshMs)
+        val read = host.directory.snapshot()
+        return StateReply(host.configText, read, host.clock.nowMs() - host.directory.freshMs)
     }
 }
--- a/src/main/kotlin/front/StageCallAdapter.kt
+++ b/src/main/kotlin/front/StageCallAdapter.kt
@@ -52,8 +52,8 @@
         }
     }
 
-    override fun free(effect: PoolEffect.Free) = traffic.execute {
-        val reply = SmallReply { _, _, _ -> }
+    override fun free(effect: PoolEffect.Free, done: () -> Unit) = traffic.execute {
+        val reply = SmallReply { _, _, _ -> control.post(done) }
         reply.call = client.send(effect.target.address, encodeStageFree(effect.target, effect.handles), reply)
         reply.limit(traffic, FREE_TIMEOUT_MS)
     }
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -29,8 +29,8 @@
     /** Makes the items of [call] and gives the outcome to [done] on the control thread. */
     fun run(call: PoolEffect.Call, maxConnections: Int, done: (CallOutcome) -> Unit)
 
-    /** Frees results. */
-    fun free(effect: PoolEffect.Free)
+    /** Frees results and runs [done] on the control thread once the target has answered, or will not. */
+    fun free(effect: PoolEffect.Free, done: () -> Unit)
 }
 
 /** What the router reads of this host's state. */
@@ -122,7 +122,7 @@
         val (effects, foreign) = queues[service]?.free(handles, clock.nowMs()) ?: (emptyList<PoolEffect>() to handles)
         apply(service, effects)
         for ((address, of) in foreign.groupBy { it.substringBefore('/') }) {
-            surroundings.targetAt(address)?.let { calls.free(PoolEffect.Free(it, of)) }
+            surroundings.targetAt(address)?.let { calls.free(PoolEffect.Free(0, it, of)) {} }
         }
     }
 
@@ -150,6 +150,11 @@
         val now = clock.nowMs()
         queues[service]?.takeIf { it.waiting > 0 || it.calls > 0 }?.let { return it.expectedMs() }
         told[service]?.takeIf { now - it.second < POOL_NEWS_LIFE_MS }?.let { return it.first }
+        return idleStageMs(service)
+    }
+
+    /** Expected time of a stage in [service] without a queue. */
+    fun idleStageMs(service: String): Double {
         val batch = surroundings.config?.services?.get(service)?.batch ?: return 0.0
         return batch.expectedMs(batch.maxPieces / 2 + 1)
     }
@@ -192,7 +197,7 @@
         val job = entry.job.job
         if (pending[job] !== entry || entry.owner != owner) return
         val reply = (outcome as? PeerOutcome.Replied)?.reply as? StageReply
-        if (reply != null) {
+        if (reply != null && reply.outcome.failure != JobFailure.MOVED) {
             finish(job, reply.outcome)
         } else {
             log.write("owner-lost", "job" to job, "service" to entry.job.service, "owner" to owner)
@@ -221,18 +226,35 @@
 
     private fun finish(job: String, outcome: JobOutcome) {
         val reply = remoteReplies.remove(job)
-        if (reply != null) {
-            reply(outcome)
-        } else if (pending.remove(job) != null) {
-            done(job, outcome)
+        val own = pending[job]
+        when {
+            reply != null -> reply(outcome)
+
+            own == null -> Unit
+
+            outcome.failure == JobFailure.MOVED -> place(own)
+
+            else -> {
+                pending.remove(job)
+                done(job, outcome)
+            }
         }
     }
 
+    /** Hands the jobs that were not begun to the next owners; for a planned stop. */
+    fun handBack() {
+        queues.forEach { (service, queue) -> apply(service, queue.handBack(clock.nowMs())) }
+    }
+
     private fun apply(service: String, effects: List<PoolEffect>) {
         for (effect in effects) {
             when (effect) {
                 is PoolEffect.Call -> startCall(service, effect)
-                is PoolEffect.Free -> calls.free(effect)
+
+                is PoolEffect.Free -> calls.free(effect) {
+                    queues[service]?.let { apply(service, it.onFreed(effect.release, clock.nowMs())) }
+                }
+
                 is PoolEffect.Done -> finish(effect.job, effect.outcome)
             }
         }
--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -66,7 +66,7 @@
     fun onTick(now: Long) {
         if (isReadingTargets || now < nextTryMs) return
         val turn = minOf(listener.readTurn(), MAX_TURN)
-        val isFirst = !directory.isReady
+        val isFirst = directory.position < 0
         if (!isFirst && now - directory.freshMs < READ_AFTER_MS + turn * TURN_MS) return
         isReadingTargets = true
         startedMs = now
--- a/src/main/kotlin/membership/Membership.kt
+++ b/src/main/kotlin/membership/Membership.kt
@@ -115,6 +115,9 @@
         return count(out)
     }
 
+    /** Returns a datagram that tells [member] what is new here; the answer is not waited for. */
+    fun ping(member: Member): ProbeSend = send(member.peer, ProbeKind.PING, ++sequence)
+
     private fun onAck(message: ProbeMessage): List<ProbeSend> {
         if (probe?.sequence == message.sequence) probe = null
         val relay = relays.remove(message.sequence) ?: return emptyList()
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -11,6 +11,7 @@
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.engine.EngineTable
 import org.sesamerouter.engine.Prompt
+import org.sesamerouter.engine.READ_TOKENS_PER_MS
 import org.sesamerouter.pipeline.Budget
 import org.sesamerouter.quarantine.Quarantine
 import org.sesamerouter.quarantine.Standing
@@ -19,8 +20,12 @@
 
 private const val MAX_SENDS = 5
 private const val MAX_STAGE_RUNS = 2
-private const val FIRST_EVENT_MS = 120L // an engine's typical time to its first event
+private const val FIRST_EVENT_MS = 100L // an engine's time to the first event beside the reading of the prompt
 private const val RETRY_AFTER_MS = 400L
+private const val OVERLOAD_RETRY_MS = 2_000L // bursts of callers last some seconds
+private const val MAX_IN_LANE = 24 // what the pools catch up with within a caller's deadline after a burst
+private const val MAX_FROM_LANE = 2 // of one host at a time, so that all hosts together do not flood the pools
+private const val SPARE_FACTOR = 1.2 // pools are calm when the way through takes hardly longer than without queues
 private const val LEAST_SEND_MS = 20L // a send with less time left only wastes the target's work
 private const val FIRST_FAULT_STATUS = 500
 private const val NOT_RUN_STATUS = 503
@@ -44,6 +49,9 @@
 
     /** Expected time of a stage in the pool [service], with its queue. */
     fun stageMs(service: String): Double
+
+    /** Expected time of a stage in the pool [service] without a queue. */
+    fun idleStageMs(service: String): Double
 }
 
 /** The requests of one host. Not thread-safe. */
@@ -80,6 +88,8 @@
     private val flowOfJob = HashMap<String, Flow>()
     private val budgets = HashMap<String, Budget>()
     private val effects = ArrayList<FlowEffect>()
+    private val lane = LateLane(MAX_IN_LANE)
+    private val startedFromLane = HashSet<Long>()
     private var jobSequence = 0L
 
     /** Requests that have not ended. */
@@ -107,11 +117,43 @@
         budgetOf(request.service).earn()
         if (quarantine.standing(request.fingerprint, now) == Standing.QUARANTINED) {
             reject(flow, RejectReason.QUARANTINED, quarantine.remainingMs(request.fingerprint, now))
-        } else {
+        } else if (isTimely(flow, now)) {
             startStages(flow, now)
+        } else {
+            lane.add(LaneEntry(request.flow, request.rank, request.deadlineMs - bestMs(flow), now))
+            lane.overflow(now).forEach { id -> flows[id]?.let { reject(it, RejectReason.OVERLOAD, OVERLOAD_RETRY_MS) } }
+        }
+    }
+
+    /** Whether the request would meet its objective if its stages began now. */
+    private fun isTimely(flow: Flow, now: Long): Boolean {
+        val expected = chainMs(flow) { surroundings.stageMs(it) }
+        return now + expected <= flow.request.arrivedMs + flow.request.route.aimMs
+    }
+
+    /** Time that the request takes through pools without queues. */
+    private fun bestMs(flow: Flow): Long = chainMs(flow) { surroundings.idleStageMs(it) }
+
+    private fun chainMs(flow: Flow, stageMs: (String) -> Double): Long {
+        val stages = flow.request.route.stages
+        val firsts = stages.indices.filter { n ->
+            piecesOf(flow, n) > 0 && stages[n].after.none { piecesOf(flow, it) > 0 }
         }
+        return firsts.maxOfOrNull { (stageMs(stages[it].service) + restMs(flow, it, stageMs)).toLong() } ?: 0
     }
 
+    /** Starts a request that waits beside the pools, once they have room to spare. */
+    private fun startFromLane(now: Long) {
+        if (lane.isEmpty || startedFromLane.size >= MAX_FROM_LANE) return
+        val next = lane.firstThat { id -> flows[id]?.let { isSpare(it) } ?: true } ?: return
+        lane.remove(next)
+        val flow = flows[next] ?: return
+        startedFromLane += next
+        startStages(flow, now)
+    }
+
+    private fun isSpare(flow: Flow): Boolean = chainMs(flow) { surroundings.stageMs(it) } <= bestMs(flow) * SPARE_FACTOR
+
     private fun startStages(flow: Flow, now: Long) {
         val stages = flow.request.route.stages
         for (number in stages.indices) {
@@ -131,7 +173,7 @@
         val stage = request.route.stages[number]
         val inputs = stage.after.flatMap { flow.handles[it].orEmpty() }
         val key = if (inputs.isEmpty()) request.pieceKey else null
-        val rest = restMs(flow, number)
+        val rest = restMs(flow, number) { surroundings.stageMs(it) }
         val job = StageJob(
             job = "${request.id}/$number/${jobSequence++}",
             request = request.id,
@@ -142,18 +184,28 @@
             rank = request.rank,
             aimLeftMs = request.arrivedMs + request.route.aimMs - rest - now,
             deadlineLeftMs = request.deadlineMs - rest / 2 - now,
+            stagesLeft = stagesAfter(flow, number),
         )
         flow.jobs[job.job] = number
         flowOfJob[job.job] = flow
         effects += FlowEffect.RunStage(job)
     }
 
+    private fun nextStages(flow: Flow, stage: Int): List<Int> {
+        val stages = flow.request.route.stages
+        return stages.indices.filter { stage in stages[it].after && piecesOf(flow, it) > 0 }
+    }
+
+    private fun stagesAfter(flow: Flow, stage: Int): Int =
+        nextStages(flow, stage).maxOfOrNull { 1 + stagesAfter(flow, it) } ?: 0
+
     /** Expected time from the end of [stage] to the first event. */
-    private fun restMs(flow: Flow, stage: Int): Long {
+    private fun restMs(flow: Flow, stage: Int, stageMs: (String) -> Double): Long {
         val stages = flow.request.route.stages
-        val next = stages.indices.filter { stage in stages[it].after && piecesOf(flow, it) > 0 }
-        val longest = next.maxOfOrNull { surroundings.stageMs(stages[it].service).toLong() + restMs(flow, it) }
-        return longest ?: FIRST_EVENT_MS
+        val longest = nextStages(flow, stage).maxOfOrNull {
+            stageMs(stages[it].service).toLong() + restMs(flow, it, stageMs)
+        }
+        return longest ?: (FIRST_EVENT_MS + flow.request.parts.sumOf { it.tokens } / READ_TOKENS_PER_MS).toLong()
     }
 
     private fun onStageEnded(event: FlowEvent.StageEnded, now: Long) {
@@ -190,7 +242,7 @@
         val stages = flow.request.route.stages
         for (number in stages.indices) {
             val handles = flow.handles[number] ?: continue
-            val consumers = stages.indices.filter { number in stages[it].after && piecesOf(flow, it) > 0 }
+            val consumers = nextStages(flow, number)
             if (handles.isEmpty() || consumers.isEmpty() || consumers.any { flow.handles[it] == null }) continue
             effects += FlowEffect.FreeResults(stages[number].service, handles)
             flow.handles[number] = emptyList()
@@ -361,6 +413,8 @@
     private fun budgetOf(service: String) = budgets.getOrPut(service, newBudget)
 
     private fun onTick(now: Long) {
+        lane.expired(now).forEach { id -> flows[id]?.let { reject(it, RejectReason.OVERLOAD, OVERLOAD_RETRY_MS) } }
+        startFromLane(now)
         flows.values.filter { it.request.deadlineMs <= now }.forEach { flow ->
             if (flow.send != null) flow.mayHaveRun = true
             flow.send?.let { effects += FlowEffect.CancelSend(it.id) }
@@ -407,6 +461,8 @@
         cancelStages(flow)
         freeAll(flow)
         flows.remove(flow.request.flow)
+        lane.remove(flow.request.flow)
+        startedFromLane -= flow.request.flow
         effects += FlowEffect.Ended(flow.request.flow, outcome, flow.sends)
     }
 
--- /dev/null
+++ b/src/test/kotlin/batching/PieceQueueSpec.kt
@@ -0,0 +1,365 @@
+/*
+ * The queue of a stage pool: filling calls, room for results, who goes first when not all can be in time, and that no
+ * result is lost, doubled or given to another job whatever targets do.
+ */
+package org.sesamerouter.batching
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import org.sesamerouter.discovery.TargetEntry
+import org.sesamerouter.histories
+import org.sesamerouter.serving.BatchSpec
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+private val SPEC = BatchSpec(slots = 1, maxPieces = 8, callMs = 240.0, pieceMs = 20.0, roomBytes = 8_000_000)
+
+private fun target(id: String, bornMs: Long = 1) =
+    TargetEntry(id, "stock", "10.0.0.${id.filter { it.isDigit() }}:80", "a", 1, isDraining = false, bornMs)
+
+private fun job(
+    id: String,
+    pieces: Int,
+    rank: Int = 1,
+    aimLeftMs: Long = 2_000,
+    bytes: Long = 8_000,
+    deadlineLeftMs: Long = 12_000,
+) = StageJob(id, "r-$id", "stock", 0, List(pieces) { Piece(it, "key") }, bytes, rank, aimLeftMs, deadlineLeftMs)
+
+private fun List<PoolEffect>.calls() = filterIsInstance<PoolEffect.Call>()
+
+private fun List<PoolEffect>.done() = filterIsInstance<PoolEffect.Done>()
+
+private fun List<PoolEffect>.freed() = filterIsInstance<PoolEffect.Free>()
+
+private fun made(call: PoolEffect.Call, from: Int = 0) = CallOutcome.Answered(
+    call.items.indices.map { PieceOutcome.Made("${call.target.address}/${call.call}-${from + it}") },
+)
+
+class PieceQueueSpec :
+    FunSpec({
+        fun queue(vararg ids: String, spec: BatchSpec = SPEC) =
+            PieceQueue("stock", spec).also { it.update(ids.map { id -> target(id) }, 0) }
+
+        test("pieces of several requests that wait for a target share its next call") {
+            val queue = queue("t1")
+            val first = queue.submit(job("a", 1), 0).calls().single()
+            queue.submit(job("b", 3), 10).calls().shouldBeEmpty()
+            queue.submit(job("c", 4), 20).calls().shouldBeEmpty()
+            val next = queue.onCallEnded(first.call, made(first), 260).calls().single()
+            next.items.map { it.request }.toSet() shouldBe setOf("r-b", "r-c")
+            next.items shouldHaveSize 7
+        }
+
+        test("a job whose pieces do not fit into what is left of a call is not split for a small rest") {
+            val queue = queue("t1")
+            val first = queue.submit(job("a", 1), 0).calls().single()
+            queue.submit(job("b", 7), 10)
+            queue.submit(job("c", 3), 20)
+            val next = queue.onCallEnded(first.call, made(first), 260).calls().single()
+            next.items.map { it.request }.toSet() shouldBe setOf("r-b")
+        }
+
+        test("room counts as taken until the target has confirmed that it freed the results") {
+            val spec = SPEC.copy(roomBytes = 4_000_000)
+            val queue = queue("t1", spec = spec)
+            val first = queue.submit(job("a", 5, bytes = 800_000), 0).calls().single()
+            val done = queue.onCallEnded(first.call, made(first), 400)
+            queue.submit(job("b", 5, bytes = 800_000), 410).calls().shouldBeEmpty()
+            val (effects, foreign) = queue.free(done.done().single().outcome.handles, 420)
+            foreign.shouldBeEmpty()
+            effects.calls().shouldBeEmpty()
+            val after = queue.onFreed(effects.freed().single().release, 425)
+            after.calls().single().items shouldHaveSize 5
+        }
+
+        test("surge of two kinds beyond what the pool can do: the lower rank is left out, the higher one is in time") {
+            val queue = queue("t1")
+            val running = queue.submit(job("first", 8), 0).calls().single()
+            repeat(8) { queue.submit(job("low$it", 4, rank = 2, aimLeftMs = 900), 1) }
+            queue.submit(job("high1", 4, rank = 0, aimLeftMs = 1_000), 2)
+            queue.submit(job("high2", 4, rank = 0, aimLeftMs = 1_000), 3)
+            val next = queue.onCallEnded(running.call, made(running), 400).calls().single()
+            next.items.map { it.request }.toSet() shouldBe setOf("r-high1", "r-high2")
+        }
+
+        test("a job that is late waits while a single target is free, and fills a call of one that is in time") {
+            val queue = queue("t1")
+            queue.submit(job("late", 2, aimLeftMs = -10), 0).calls().shouldBeEmpty()
+            val call = queue.submit(job("timely", 2), 50).calls().single()
+            call.items.map { it.request }.distinct() shouldContainExactly listOf("r-timely", "r-late")
+        }
+
+        test("a late job alone is not left waiting for longer than its patience") {
+            val queue = queue("t1")
+            queue.submit(job("late", 2, aimLeftMs = -10), 0).calls().shouldBeEmpty()
+            queue.onTick(300).calls().single().items shouldHaveSize 2
+        }
+
+        test("an answer with a handle that another job holds is not given to a second one") {
+            val queue = queue("t1")
+            val first = queue.submit(job("a", 1), 0).calls().single()
+            val answer = made(first)
+            queue.onCallEnded(first.call, answer, 260).done() shouldHaveSize 1
+            val second = queue.submit(job("b", 1), 270).calls().single()
+            val after = queue.onCallEnded(second.call, answer, 520)
+            after.done().shouldBeEmpty()
+            after.calls().single().items.single().request shouldBe "r-b"
+        }
+
+        test("a target that is not listed any more gets no further call") {
+            val queue = queue("t1", "t2")
+            val first = queue.submit(job("a", 8), 0).calls().single()
+            queue.update(listOf(target("t2")), 10)
+            val second = queue.submit(job("b", 8), 20).calls().single()
+            second.target.id shouldBe "t2"
+            queue.submit(job("c", 1), 30).calls().shouldBeEmpty()
+            val other = if (first.target.id == "t1") first else second
+            queue.onCallEnded(other.call, made(other), 500).calls().map { it.target.id }.filter { it == "t1" }
+                .shouldBeEmpty()
+        }
+
+        test("a target much slower than the others gets calls only when the others cannot take all") {
+            val queue = queue("t1", "t2")
+            val calls = queue.submit(job("a", 8), 0).calls() + queue.submit(job("b", 8), 0).calls()
+            val slow = calls.first { it.target.id == "t1" }
+            val quick = calls.first { it.target.id == "t2" }
+            queue.onCallEnded(quick.call, made(quick), 400)
+            repeat(40) { queue.onTick(400 + it * 50L) }
+            queue.onCallEnded(slow.call, made(slow), 2_400)
+            queue.submit(job("c", 1), 2_500).calls().single().target.id shouldBe "t2"
+            queue.submit(job("d", 1), 2_510).calls().shouldBeEmpty()
+        }
+
+        test("jobs that were not begun are handed back at a planned stop, begun ones are finished") {
+            val queue = queue("t1")
+            val running = queue.submit(job("a", 2), 0).calls().single()
+            queue.submit(job("b", 2), 10)
+            queue.handBack(20).done().single().outcome.failure shouldBe JobFailure.MOVED
+            queue.onCallEnded(running.call, made(running), 300).done().single().outcome.failure shouldBe null
+        }
+
+        test("whatever targets do, each job ends once, with results of its own, and each result is freed once") {
+            checkAll(histories(seed = 11), Arb.long()) { seed -> PieceHistory(Random(seed)).run() }
+        }
+
+        test("calm load from six hosts: one queue for the pool fills its calls, a queue on each host does not") {
+            val shared = PoolLoad(Random(7), hosts = 1).run()
+            val alone = PoolLoad(Random(7), hosts = 6).run()
+            println("pieces a call: one queue ${shared.fill}, each host alone ${alone.fill}")
+            println("share in time: one queue ${shared.inTime}, each host alone ${alone.inTime}")
+            shared.inTime shouldBeGreaterThan alone.inTime
+            shared.inTime shouldBeGreaterThan 0.95
+        }
+    })
+
+/** Random events against one queue; the model keeps what is owed. */
+private class PieceHistory(private val random: Random) {
+    private val queue = PieceQueue("stock", SPEC)
+    private val open = HashMap<String, StageJob>()
+    private val running = LinkedHashMap<Long, PoolEffect.Call>()
+    private val handed = HashMap<String, String>()
+    private val held = HashSet<String>()
+    private val ended = HashSet<String>()
+    private val born = HashMap<String, Long>()
+    private var now = 0L
+    private var sequence = 0
+
+    fun run() {
+        take(queue.update(listOf(target("t1"), target("t2"), target("t3")), now))
+        repeat(60) {
+            now += random.nextLong(0, 200)
+            step()
+        }
+        repeat(400) {
+            now += 50
+            running.values.toList().forEach { end(it, made(it, sequence++ * 100)) }
+            take(queue.onTick(now))
+        }
+        open.keys.filter { it !in ended }.shouldBeEmpty()
+    }
+
+    private fun step() {
+        when (random.nextInt(8)) {
+            0, 1, 2 -> submit()
+            3, 4 -> running.values.randomOrNull(random)?.let { end(it, outcome(it)) }
+            5 -> open.keys.filter { it !in ended }.randomOrNull(random)?.let { take(queue.cancel(it, now)) }
+            6 -> free()
+            else -> take(queue.update(listOf("t1", "t2", "t3").filter { random.nextInt(4) > 0 }.map(::reborn), now))
+        }
+        take(queue.onTick(now))
+    }
+
+    private fun reborn(id: String): TargetEntry {
+        if (random.nextInt(10) == 0) born[id] = now + 1
+        return target(id, bornMs = born[id] ?: 1)
+    }
+
+    private fun submit() {
+        val job = job(
+            "j${sequence++}",
+            random.nextInt(1, 12),
+            random.nextInt(3),
+            random.nextLong(-100, 2_000),
+            random.nextLong(0, 900_000),
+            random.nextLong(300, 5_000),
+        )
+        open[job.job] = job
+        take(queue.submit(job, now))
+    }
+
+    private fun free() {
+        val handles = held.take(3)
+        held -= handles.toSet()
+        val (effects, foreign) = queue.free(handles, now)
+        foreign.shouldBeEmpty()
+        take(effects)
+    }
+
+    private fun outcome(call: PoolEffect.Call): CallOutcome = when (random.nextInt(6)) {
+        0 -> CallOutcome.Refused
+
+        1 -> CallOutcome.Failed("reset")
+
+        else -> CallOutcome.Answered(
+            call.items.mapIndexed { i, _ ->
+                when (random.nextInt(8)) {
+                    0 -> PieceOutcome.NoRoom
+                    1 -> PieceOutcome.Failed
+                    2 -> if (random.nextInt(4) == 0) PieceOutcome.InputGone else PieceOutcome.Late
+                    else -> PieceOutcome.Made("${call.target.address}/${call.call}-$i")
+                }
+            },
+        )
+    }
+
+    private fun end(call: PoolEffect.Call, outcome: CallOutcome) {
+        running.remove(call.call)
+        if (outcome is CallOutcome.Answered) {
+            outcome.items.forEachIndexed { i, made ->
+                if (made is PieceOutcome.Made) {
+                    handed[made.handle] =
+                        "${call.items[i].request}/${call.items[i].piece.number}"
+                }
+            }
+        }
+        take(queue.onCallEnded(call.call, outcome, now))
+    }
+
+    private fun take(effects: List<PoolEffect>) {
+        for (effect in effects) {
+            when (effect) {
+                is PoolEffect.Call -> {
+                    effect.items.size shouldBeLessThanOrEqual SPEC.maxPieces
+                    running.values.count {
+                        it.target.id == effect.target.id && it.target.bornMs == effect.target.bornMs
+                    } shouldBe
+                        0
+                    running[effect.call] = effect
+                }
+
+                is PoolEffect.Free -> {
+                    effect.handles.forEach { check(handed.remove(it) != null) { "$it was freed twice or never made" } }
+                    held -= effect.handles.toSet()
+                    take(queue.onFreed(effect.release, now))
+                }
+
+                is PoolEffect.Done -> onDone(effect)
+            }
+        }
+    }
+
+    private fun onDone(done: PoolEffect.Done) {
+        check(ended.add(done.job)) { "${done.job} ended twice" }
+        if (done.outcome.failure != null) {
+            done.outcome.handles.shouldBeEmpty()
+            return
+        }
+        done.outcome.handles.forEachIndexed { i, handle -> handed[handle] shouldBe "r-${done.job}/$i" }
+        done.outcome.handles shouldHaveSize open.getValue(done.job).pieces.size
+        held += done.outcome.handles
+    }
+}
+
+/** Poisson arrivals of jobs at a pool of four targets, in one queue or in one a host. */
+private class PoolLoad(private val random: Random, private val hosts: Int) {
+    data class Figures(val fill: Double, val inTime: Double)
+
+    private sealed interface Event {
+        data class Arrival(val job: StageJob, val host: Int) : Event
+
+        data class CallEnd(val call: PoolEffect.Call, val host: Int) : Event
+    }
+
+    private val events = PriorityQueue<Pair<Long, Event>>(compareBy { it.first })
+    private val queues = List(hosts) { PieceQueue("stock", SPEC) }
+    private val busyUntil = HashMap<String, Long>()
+    private val dueMs = HashMap<String, Long>()
+    private var calls = 0
+    private var pieces = 0
+    private var inTime = 0
+
+    fun run(): Figures {
+        queues.forEach { it.update(List(4) { i -> target("t$i") }, 0) }
+        var at = 0.0
+        var count = 0
+        while (at < 30_000) {
+            at += -Math.log(1 - random.nextDouble()) * 1_000 / ARRIVALS_PER_S
+            val job = job("l${count++}", random.nextInt(1, 5), aimLeftMs = 900)
+            dueMs[job.job] = at.toLong() + 900
+            events += at.toLong() to Event.Arrival(job, random.nextInt(hosts))
+        }
+        while (events.isNotEmpty()) {
+            val (now, event) = events.poll()
+            when (event) {
+                is Event.Arrival -> take(queues[event.host].submit(event.job, now), event.host, now)
+
+                is Event.CallEnd -> take(
+                    queues[event.host].onCallEnded(event.call.call, made(event.call), now),
+                    event.host,
+                    now,
+                )
+            }
+        }
+        return Figures(pieces.toDouble() / calls, inTime.toDouble() / count)
+    }
+
+    /** A target does one call at a time, whoever sends it. */
+    private fun take(effects: List<PoolEffect>, host: Int, now: Long) {
+        for (effect in effects) {
+            when (effect) {
+                is PoolEffect.Call -> {
+                    calls++
+                    pieces += effect.items.size
+                    val start = maxOf(now, busyUntil[effect.target.id] ?: 0)
+                    val end = start + SPEC.expectedMs(effect.items.size).toLong()
+                    busyUntil[effect.target.id] = end
+                    events += end to Event.CallEnd(effect, host)
+                }
+
+                is PoolEffect.Done -> {
+                    if (now <= dueMs.getValue(effect.job)) inTime++
+                    if (effect.outcome.failure ==
+                        null
+                    ) {
+                        take(queues[host].free(effect.outcome.handles, now).first, host, now)
+                    }
+                }
+
+                is PoolEffect.Free -> take(queues[host].onFreed(effect.release, now), host, now)
+            }
+        }
+    }
+
+    private companion object {
+        const val ARRIVALS_PER_S = 16.0 // 40 pieces a second, half of what the pool can do with full calls
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/discovery/TargetDirectorySpec.kt
@@ -0,0 +1,125 @@
+/*
+ * Which targets are known: order by offset, reads that leave something out, entries that lapse while the store is away,
+ * and what hosts tell each other, against a model that keeps the whole stream.
+ */
+package org.sesamerouter.discovery
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import org.sesamerouter.histories
+import kotlin.random.Random
+
+private fun entry(id: String, draining: Boolean = false, bornMs: Long = 1) =
+    TargetEntry(id, "stock", "10.0.0.1:80", "a", 1, draining, bornMs)
+
+private fun full(end: Long, vararg changes: EntryChange) = EntryRead(0, end, full = true, changes.toList())
+
+private fun delta(from: Long, end: Long, vararg changes: EntryChange) = EntryRead(from, end, false, changes.toList())
+
+class TargetDirectorySpec :
+    FunSpec({
+        test("a target that drains is known to drain, also by a host that learned of it from a peer") {
+            val peer = TargetDirectory()
+            peer.onRead(full(5, EntryChange("t1", 3, entry("t1"))), 0, 0)
+            val host = TargetDirectory()
+            host.onRead(checkNotNull(peer.snapshot()), 0, 10)
+            host.onRead(delta(5, 6, EntryChange("t1", 5, entry("t1", draining = true))), 0, 20)
+            host.targets.getValue("t1").isDraining shouldBe true
+        }
+
+        test("a read that begins after what is known does not count as fresh, so that the gap is read") {
+            val host = TargetDirectory()
+            host.onRead(full(5, EntryChange("t1", 3, entry("t1"))), 0, 0)
+            host.onRead(delta(8, 9, EntryChange("t2", 8, entry("t2"))), 0, 1_000)
+            host.position shouldBe 5
+            host.freshMs shouldBe 0
+            host.targets.keys shouldBe setOf("t1", "t2")
+        }
+
+        test("an older record does not replace a newer one") {
+            val host = TargetDirectory()
+            host.onRead(full(5, EntryChange("t1", 4, entry("t1", draining = true))), 0, 0)
+            host.onRead(delta(3, 5, EntryChange("t1", 3, entry("t1"))), 0, 10)
+            host.targets.getValue("t1").isDraining shouldBe true
+        }
+
+        test("an entry that lapses while the store is reached is gone at once") {
+            val host = TargetDirectory()
+            host.onRead(full(5, EntryChange("t1", 4, entry("t1"))), 0, 0)
+            host.onRead(delta(5, 6, EntryChange("t1", 5, null)), 0, 400)
+            host.targets.keys shouldBe emptySet()
+        }
+
+        test("an entry that lapsed while the store was away stays in use for about two seconds after its return") {
+            val host = TargetDirectory()
+            host.onRead(full(5, EntryChange("t1", 4, entry("t1")), EntryChange("t2", 3, entry("t2"))), 0, 0)
+            (0L..5_000L step 100).forEach { host.onTick(it) }
+            host.onRead(delta(5, 7, EntryChange("t1", 5, null), EntryChange("t2", 6, null)), 0, 5_000)
+            host.targets.keys shouldBe setOf("t1", "t2")
+            host.onRead(delta(7, 8, EntryChange("t2", 7, entry("t2"))), 0, 6_000)
+            host.onTick(7_000) shouldBe false
+            host.onTick(7_300) shouldBe true
+            host.targets.keys shouldBe setOf("t2")
+        }
+
+        test("a target that was leaving when its entry lapsed is not kept") {
+            val host = TargetDirectory()
+            host.onRead(full(5, EntryChange("t1", 4, entry("t1", draining = true))), 0, 0)
+            (0L..5_000L step 100).forEach { host.onTick(it) }
+            host.onRead(delta(5, 6, EntryChange("t1", 5, null)), 0, 5_000)
+            host.targets.keys shouldBe emptySet()
+        }
+
+        test("a full read drops what it does not list, and history that was lost does not make the host unready") {
+            val host = TargetDirectory()
+            host.onRead(full(5, EntryChange("t1", 4, entry("t1")), EntryChange("t2", 3, entry("t2"))), 0, 0)
+            host.onHistoryLost()
+            host.isReady shouldBe true
+            host.onRead(full(9, EntryChange("t2", 8, entry("t2"))), 0, 100)
+            host.targets.keys shouldBe setOf("t2")
+        }
+
+        test(
+            "hosts that get any reads of a stream, late, twice or with gaps, agree with it once they have read it all",
+        ) {
+            checkAll(histories(seed = 21), Arb.long()) { seed -> StreamHistory(Random(seed)).run() }
+        }
+    })
+
+/** A stream of records, read in random pieces by a host whose store is never away. */
+private class StreamHistory(private val random: Random) {
+    private val stream = ArrayList<EntryChange>()
+
+    fun run() {
+        repeat(random.nextInt(1, 40)) { at ->
+            val id = "t${random.nextInt(6)}"
+            val value = if (random.nextInt(4) == 0) null else entry(id, random.nextBoolean(), random.nextLong(3))
+            stream += EntryChange(id, at.toLong(), value)
+        }
+        val host = TargetDirectory()
+        var now = 0L
+        repeat(random.nextInt(12)) {
+            now += random.nextLong(100)
+            val from = random.nextInt(stream.size)
+            host.onRead(read(from, random.nextInt(from, stream.size + 1)), random.nextLong(50), now)
+        }
+        if (host.position < 0) host.onRead(newest(random.nextInt(stream.size + 1)), 0, now)
+        host.onRead(read(host.position.toInt(), stream.size), 0, now)
+        val expected = stream.groupBy { it.id }.mapNotNull { (_, of) -> of.last().entry }.associateBy { it.id }
+        host.targets shouldBe expected
+        host.position shouldBe stream.size.toLong()
+    }
+
+    private fun read(from: Int, end: Int): EntryRead {
+        val newest = stream.subList(from, end).associateBy { it.id }.values.toList()
+        return EntryRead(from.toLong(), end.toLong(), false, newest)
+    }
+
+    private fun newest(end: Int): EntryRead {
+        val listed = stream.take(end).associateBy { it.id }.values.filter { it.entry != null }
+        return EntryRead(-1, end.toLong(), true, listed)
+    }
+}
