--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -22,7 +22,7 @@
 private const val LARGE_RESULT_BYTES = 100_000L
 private const val ROOM_PATIENCE_MS = 300L // results in the way are freed within about this
 private const val SMALL_CALL_SHARE = 3 // a call of less than one in this many places wastes most of its fixed time
-private const val SPLIT_SHARE = 4 // a job is split when more than one in this many places would stay empty
+private const val FETCH_MS = 60L // a target that was free fetches the inputs of a call within a few ms
 
 /** One piece; pieces without inputs start from [key]. */
 @Serializable
@@ -94,6 +94,9 @@
     /** Frees [handles]; [release] is to be given back once the target has done so. */
     data class Free(val release: Long, val target: TargetEntry, val handles: List<String>) : PoolEffect
 
+    /** Targets have probably fetched [inputs], so their makers may free them if they need the room. */
+    data class InputsRead(val inputs: List<String>) : PoolEffect
+
     data class Done(val job: String, val outcome: JobOutcome) : PoolEffect
 }
 
@@ -107,8 +110,13 @@
         val handles = arrayOfNulls<String>(spec.pieces.size)
         var isEnded = false
         var running = 0
+        var lastStartMs = 0L
+        var areInputsRead = spec.pieces.all { it.inputs.isEmpty() }
     }
 
+    private fun Job.isFetched(now: Long) =
+        !areInputsRead && waiting.isEmpty() && running > 0 && now - lastStartMs >= FETCH_MS
+
     private class Item(val job: Job, val index: Int) {
         var tries = 0
         val piece get() = job.spec.pieces[index]
@@ -127,7 +135,9 @@
 
     private class Release(val target: Target, val bytes: Long)
 
-    private class Result(val target: Target, val bytes: Long)
+    private class Result(val target: Target, val bytes: Long) {
+        var isRead = false
+    }
 
     private val targets = LinkedHashMap<String, Target>()
     private val jobs = HashMap<String, Job>()
@@ -206,6 +216,12 @@
         return pump(now) to foreign
     }
 
+    /** Notes that the consumer of [handles] has probably fetched them; they are freed early where room is short. */
+    fun onRead(handles: List<String>, now: Long): List<PoolEffect> {
+        handles.forEach { results[it]?.isRead = true }
+        return pump(now)
+    }
+
     /** Takes in that a target has freed results; only then is there room for others. */
     fun onFreed(release: Long, now: Long): List<PoolEffect> {
         val freed = releases.remove(release) ?: return emptyList()
@@ -239,6 +255,10 @@
             val ratio = (now - run.startedMs) / run.expectedMs
             if (ratio > OVERDUE_FACTOR) run.target.slowness = maxOf(run.target.slowness, ratio)
         }
+        jobs.values.filter { it.isFetched(now) }.forEach { job ->
+            job.areInputsRead = true
+            effects += PoolEffect.InputsRead(job.spec.pieces.flatMap { it.inputs }.distinct())
+        }
         jobs.values.filter { it.deadlineMs <= now }.forEach { end(it, JobOutcome(failure = JobFailure.LATE)) }
         return pump(now)
     }
@@ -385,6 +405,7 @@
             picked += job.waiting.take(count)
             room -= count * job.spec.resultBytes
         }
+        if (lacksRoom) release(results.filterValues { it.target === target && it.isRead }.keys.toList())
         val isSmall = picked.size * SMALL_CALL_SHARE < minOf(waiting, spec.maxPieces)
         val isPatient = order.firstOrNull()?.let { now - it.addedMs < ROOM_PATIENCE_MS } ?: true
         return if (lacksRoom && isSmall && isPatient && target.usedBytes > 0) emptyList() else picked
@@ -393,7 +414,7 @@
     private fun mayBeSplit(job: Job, places: Int, fitting: Int): Boolean = job.isBegun ||
         job.spec.pieces.size > spec.maxPieces ||
         job.spec.pieces.size * job.spec.resultBytes > spec.roomBytes ||
-        (places * SPLIT_SHARE > spec.maxPieces && fitting >= places)
+        fitting >= places
 
     /** Late jobs alone start a call only when a job that is in time would still find a free target. */
     private fun mayStartLate(late: List<Job>, now: Long): Boolean {
@@ -441,6 +462,7 @@
             it.job.waiting -= it
             target.usedBytes += it.job.spec.resultBytes
             it.job.running++
+            it.job.lastStartMs = now
         }
         waiting -= items.size
         callCount++
--- a/src/main/kotlin/front/NewsAdapter.kt
+++ b/src/main/kotlin/front/NewsAdapter.kt
@@ -45,6 +45,11 @@
                 reply(PeerReply.Taken)
             }
 
+            is ServingRequest.ResultsRead -> {
+                host.stages.readLocal(request.service, request.handles)
+                reply(PeerReply.Taken)
+            }
+
             is ServingRequest.News -> {
                 onNews(request)
                 reply(PeerReply.Taken)
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -117,6 +117,24 @@
         queues[service]?.let { apply(service, it.cancel(job, clock.nowMs())) }
     }
 
+    /** Notes that results of this host's queue were probably fetched. */
+    fun readLocal(service: String, handles: List<String>) {
+        queues[service]?.let { apply(service, it.onRead(handles, clock.nowMs())) }
+    }
+
+    private fun tellRead(handles: List<String>) {
+        val byMaker = handles.groupBy { surroundings.targetAt(it.substringBefore('/'))?.service }
+        for ((service, of) in byMaker) {
+            if (service == null) continue
+            val owner = ownerOf(service, emptySet())
+            if (owner == null || owner.host == surroundings.self.host) {
+                readLocal(service, of)
+            } else {
+                peers.tell(owner.host, ServingRequest.ResultsRead(service, of))
+            }
+        }
+    }
+
     /** Frees results here, also those that another owner had made. */
     fun freeLocal(service: String, handles: List<String>) {
         val (effects, foreign) = queues[service]?.free(handles, clock.nowMs()) ?: (emptyList<PoolEffect>() to handles)
@@ -255,6 +273,8 @@
                     queues[service]?.let { apply(service, it.onFreed(effect.release, clock.nowMs())) }
                 }
 
+                is PoolEffect.InputsRead -> tellRead(effect.inputs)
+
                 is PoolEffect.Done -> finish(effect.job, effect.outcome)
             }
         }
--- a/src/main/kotlin/membership/ServingMessages.kt
+++ b/src/main/kotlin/membership/ServingMessages.kt
@@ -32,6 +32,11 @@
     @SerialName("free-results")
     data class FreeResults(val service: String, val handles: List<String>) : ServingRequest
 
+    /** Tells that results of the pool [service] were probably fetched by their consumer. */
+    @Serializable
+    @SerialName("results-read")
+    data class ResultsRead(val service: String, val handles: List<String>) : ServingRequest
+
     /**
      * What the host [from] learned since it told last.
      *
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -26,6 +26,7 @@
 private const val MAX_IN_LANE = 24 // what the pools catch up with within a caller's deadline after a burst
 private const val MAX_FROM_LANE = 2 // of one host at a time, so that all hosts together do not flood the pools
 private const val SPARE_FACTOR = 1.2 // pools are calm when the way through takes hardly longer than without queues
+private const val EARLY_MARGIN_MS = 200L // a call that takes longer than expected still ends with the others
 private const val LEAST_SEND_MS = 20L // a send with less time left only wastes the target's work
 private const val FIRST_FAULT_STATUS = 500
 private const val NOT_RUN_STATUS = 503
@@ -159,6 +160,7 @@
         for (number in stages.indices) {
             if (number in flow.startedStages || piecesOf(flow, number) == 0) continue
             if (stages[number].after.any { piecesOf(flow, it) > 0 && flow.handles[it] == null }) continue
+            if (isTooEarly(flow, number)) continue
             flow.startedStages += number
             startStage(flow, number, now)
         }
@@ -166,6 +168,19 @@
         if (!left) send(flow, now)
     }
 
+    /** A stage that only the target waits for begins so that it ends with the others: its results take room. */
+    private fun isTooEarly(flow: Flow, number: Int): Boolean {
+        val stages = flow.request.route.stages
+        if (nextStages(flow, number).isNotEmpty()) return false
+        val others = stages.indices.filter { it != number && piecesOf(flow, it) > 0 && flow.handles[it] == null }
+        val left = others.maxOfOrNull { stageMs(flow, it) + restMs(flow, it, surroundings::stageMs) } ?: return false
+        val own = stageMs(flow, number) + restMs(flow, number, surroundings::stageMs)
+        return left > own + EARLY_MARGIN_MS
+    }
+
+    private fun stageMs(flow: Flow, stage: Int): Long =
+        surroundings.stageMs(flow.request.route.stages[stage].service).toLong()
+
     private fun piecesOf(flow: Flow, stage: Int): Int = flow.request.pieces.getOrElse(stage) { 0 }
 
     private fun startStage(flow: Flow, number: Int, now: Long) {
