Test the platform's boundary and forwarding over sockets

Cause: translation and the byte path had no tests of their own. Change: settings, declarations, foreign entries, records, reserved headers and stage calls; answers matched by id, cut and reset answers, smuggled lengths, early answers, bounds and timeouts on real sockets with ports from the system.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -22,6 +22,8 @@
 private const val LARGE_RESULT_BYTES = 100_000L
 private const val ROOM_PATIENCE_MS = 300L // results in the way are freed within about this
 private const val SMALL_CALL_SHARE = 3 // a call of less than one in this many places wastes most of its fixed time
+private const val NEAR_WAIT_MS = 200L // a longer wait costs more than a result that crosses data centres
+private const val NEAR_SLACK_MS = 150L
 private const val FETCH_MS = 60L // a target that was free fetches the inputs of a call within a few ms
 
 /** One piece; pieces without inputs start from [key]. */
@@ -35,6 +37,7 @@
  * @property aimLeftMs time until the stage has to be done for the request to meet its objective.
  * @property deadlineLeftMs time until the result is of no use.
  * @property stagesLeft stages of the request that follow this one.
+ * @property dataCentre where large results will probably be read; null when it does not matter.
  */
 @Serializable
 data class StageJob(
@@ -48,6 +51,7 @@
     val aimLeftMs: Long,
     val deadlineLeftMs: Long,
     val stagesLeft: Int = 0,
+    val dataCentre: String? = null,
 )
 
 /** Why a job ended without results. */
@@ -397,6 +401,7 @@
         for (job in order) {
             val places = spec.maxPieces - picked.size
             if (places == 0) break
+            if (mayWaitForNear(job, target, now)) continue
             val fitting = if (job.spec.resultBytes == 0L) Int.MAX_VALUE else (room / job.spec.resultBytes).toInt()
             val count = minOf(places, fitting, job.waiting.size)
             if (fitting < minOf(places, job.waiting.size)) lacksRoom = true
@@ -411,6 +416,16 @@
         return if (lacksRoom && isSmall && isPatient && target.usedBytes > 0) emptyList() else picked
     }
 
+    /** Whether [job] has the time to wait for a target beside the consumer of its large results. */
+    private fun mayWaitForNear(job: Job, target: Target, now: Long): Boolean {
+        val wanted = job.spec.dataCentre ?: return false
+        if (wanted == target.entry.dataCentre || job.isBegun || waiting > spec.maxPieces) return false
+        val near = usableTargets(now).filter { it.entry.dataCentre == wanted && it.slowness <= SLOW_FACTOR }
+        val freeMs = near.minOfOrNull { freeAtMs(it, now) } ?: return false
+        val isSoon = freeMs - now <= NEAR_WAIT_MS
+        return isSoon && freeMs + spec.expectedMs(spec.maxPieces) + NEAR_SLACK_MS <= job.aimMs
+    }
+
     private fun mayBeSplit(job: Job, places: Int, fitting: Int): Boolean = job.isBegun ||
         job.spec.pieces.size > spec.maxPieces ||
         job.spec.pieces.size * job.spec.resultBytes > spec.roomBytes ||
--- a/src/main/kotlin/engine/EngineTable.kt
+++ b/src/main/kotlin/engine/EngineTable.kt
@@ -11,7 +11,8 @@
 /** How fast an engine reads a prompt; of the engines seen. */
 const val READ_TOKENS_PER_MS = 80.0
 private const val STREAM_MS = 6.0 // what one more running stream delays a prompt
-private const val CROSSING_MS_PER_MB = 25.0 // what a result that crosses data centres may cost in waiting
+private const val CROSSING_MS_PER_MB = 16.0 // what a result that crosses data centres may cost in waiting
+private const val SHARED_WEIGHT = 3.0 // a shared part that is read twice also takes cache from others
 private const val NEWS_LIFE_MS = 2_000L
 private const val REST_BASE_MS = 1_000L
 private const val REST_LONGEST_MS = 8_000L
@@ -73,7 +74,8 @@
     fun cost(entry: TargetEntry, prompt: Prompt, now: Long): Double {
         val engine = engines[entry.id] ?: return Double.MAX_VALUE
         val others = engine.others.values.filter { now - it.second < NEWS_LIFE_MS }.map { it.first }
-        val unread = engine.unreadTokens + others.sumOf { it.unreadTokens } + uncached(engine, prompt)
+        val rereads = uncached(engine, prompt) + (SHARED_WEIGHT - 1) * uncachedShared(engine, prompt)
+        val unread = engine.unreadTokens + others.sumOf { it.unreadTokens } + rereads
         val streams = engine.streams + others.sumOf { it.streams }
         val crossing = prompt.inputs.filterKeys { it != entry.dataCentre }.values.sum() / BYTES_PER_MB
         return unread / READ_TOKENS_PER_MS + streams * STREAM_MS + crossing * CROSSING_MS_PER_MB
@@ -149,6 +151,12 @@
         return prompt.tokens - cached
     }
 
+    /** Tokens to be read of the parts that other prompts begin with as well; the last part is the prompt's own. */
+    private fun uncachedShared(engine: Engine, prompt: Prompt): Long {
+        val shared = prompt.parts.dropLast(1)
+        return shared.dropWhile { it.id in engine.cache }.sumOf { it.tokens.toLong() }
+    }
+
     private fun remember(engine: Engine, parts: List<PromptPart>) {
         for (part in parts) {
             if (engine.cache.put(part.id, part.tokens) == null) engine.cachedTokens += part.tokens
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -26,6 +26,7 @@
 private const val MAX_IN_LANE = 24 // what the pools catch up with within a caller's deadline after a burst
 private const val MAX_FROM_LANE = 2 // of one host at a time, so that all hosts together do not flood the pools
 private const val SPARE_FACTOR = 1.2 // pools are calm when the way through takes hardly longer than without queues
+private const val LARGE_RESULT_BYTES = 100_000L // smaller ones cost little on the way to another data centre
 private const val EARLY_MARGIN_MS = 200L // a call that takes longer than expected still ends with the others
 private const val LEAST_SEND_MS = 20L // a send with less time left only wastes the target's work
 private const val FIRST_FAULT_STATUS = 500
@@ -200,12 +201,21 @@
             aimLeftMs = request.arrivedMs + request.route.aimMs - rest - now,
             deadlineLeftMs = request.deadlineMs - rest / 2 - now,
             stagesLeft = stagesAfter(flow, number),
+            dataCentre = if (stage.resultBytes >= LARGE_RESULT_BYTES) readerOf(flow, number, now) else null,
         )
         flow.jobs[job.job] = number
         flowOfJob[job.job] = flow
         effects += FlowEffect.RunStage(job)
     }
 
+    /** Returns the data centre of the engine that would take the request now, if it reads the results of [stage]. */
+    private fun readerOf(flow: Flow, stage: Int, now: Long): String? {
+        val request = flow.request
+        val isEngine = surroundings.config?.services?.get(request.service)?.engine != null
+        if (!isEngine || nextStages(flow, stage).isNotEmpty()) return null
+        return engines.choose(surroundings.targets(request.service), promptOf(flow), now)?.dataCentre
+    }
+
     private fun nextStages(flow: Flow, stage: Int): List<Int> {
         val stages = flow.request.route.stages
         return stages.indices.filter { stage in stages[it].after && piecesOf(flow, it) > 0 }
--- /dev/null
+++ b/src/test/kotlin/front/EventSplitterSpec.kt
@@ -0,0 +1,39 @@
+/*
+ * Cutting a stream at its events, whatever pieces its bytes come in.
+ */
+package org.sesamerouter.front
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import io.netty.buffer.Unpooled
+import org.sesamerouter.histories
+import kotlin.random.Random
+
+class EventSplitterSpec :
+    FunSpec({
+        test("only whole events are passed on, and the last of them is known") {
+            checkAll(histories(seed = 41), Arb.long()) { seed ->
+                val random = Random(seed)
+                val events = List(random.nextInt(1, 9)) { "id: ${it + 1}\ndata: ${"x".repeat(random.nextInt(30))}\n\n" }
+                val bytes = events.joinToString("").toByteArray()
+                val end = random.nextInt(bytes.size + 1)
+                val splitter = EventSplitter()
+                val passed = StringBuilder()
+                var at = 0
+                while (at < end) {
+                    val next = minOf(end, at + random.nextInt(1, 25))
+                    splitter.add(Unpooled.wrappedBuffer(bytes, at, next - at))?.let {
+                        passed.append(it.toString(Charsets.UTF_8))
+                    }
+                    at = next
+                }
+                val whole = events.runningFold(0) { sum, event -> sum + event.length }.indexOfLast { it <= end }
+                passed.toString() shouldBe events.take(whole).joinToString("")
+                splitter.lastId shouldBe if (whole == 0) null else "$whole"
+                splitter.takeRest().readableBytes() shouldBe end - passed.length
+            }
+        }
+    })
--- /dev/null
+++ b/src/test/kotlin/platform/PlatformDecodersSpec.kt
@@ -0,0 +1,190 @@
+/*
+ * Translation at the platform's boundary: settings, declarations, entries of targets, store records, headers and stage
+ * calls, with what other writers and faulty targets send.
+ */
+package org.sesamerouter.platform
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import org.sesamerouter.batching.CallItem
+import org.sesamerouter.batching.Piece
+import org.sesamerouter.batching.PieceOutcome
+import org.sesamerouter.discovery.TargetEntry
+import org.sesamerouter.engine.PromptPart
+import org.sesamerouter.routing.ToldLoad
+import org.sesamerouter.serving.RouteKind
+import java.nio.ByteBuffer
+
+private val SETTINGS = """
+    node=front-1
+    ip=10.1.0.4
+    zone=west
+    listen.front=10.1.0.4:8625
+    listen.ready=10.1.0.4:8621
+    listen.directory=10.1.0.4:8620
+    port-range=7740,7755
+    seeds=10.1.0.4:8628,10.2.0.5:8628
+    platform.address=10.200.1.7:8624
+    bounds.grace-s=8
+    bounds.retry-ratio=0.2
+    some.new.field=x
+""".trimIndent()
+
+private val ENTRY = """
+    {"service":"stock","address":"10.128.0.9:8080","zone":"west","version":"v1","slots":6,"state":"ready",
+     "cold-left-ms":0,"seq-no":4,"born":1780900284873}
+""".trimIndent()
+
+private val CONFIG = """
+    {"version":7,"routes":[
+      {"name":"r1","host":"shop.example","path-prefix":"/a/","kind":"streaming","timeout-ms":12000,
+       "target-latency-ms":1400,"priority":1,"split":[{"service":"m","weight":90},{"service":"n","weight":10}],
+       "max-attempts":2,"stages":[{"service":"s","after":[],"bytes":800000}],"public":false,"sticky":true,
+       "resumable":true,"gap-aim-ms":400},
+      {"name":"r2","host":"shop.example","path-prefix":"/a/b/","kind":"unsafe","timeout-ms":1200.5,
+       "target-latency-ms":150,"priority":2,"service":"p","max-attempts":1,"public":true}],
+     "services":[{"name":"m","health-path":"/health","max-conns":270,"protocol":"h1","tls":false,
+       "engine":{"slots":64,"kv-capacity":607174}},
+      {"name":"s","health-path":"/health","max-conns":270,
+       "pieces":{"slots":1,"queue":2,"batch":7,"call-ms":240.0,"item-ms":29.5,"headroom-mb":8.4}}],
+     "tenants":[{"name":"o1","api-keys":["k1","k2"],"priority":0}],
+     "limits":{"max-header-bytes":8000,"max-body-bytes":100000,"header-timeout-ms":5000,"idle-timeout-ms":9000}}
+""".trimIndent()
+
+private val STAGE_TARGET = TargetEntry("i-1", "s", "10.0.0.7:80", "west", 1, false, 1)
+
+class PlatformDecodersSpec :
+    FunSpec({
+        test("settings are read, unknown names are left aside, and the link uses the first free port of every seed") {
+            val settings = readPlatformSettings(SETTINGS).get().shouldNotBeNull()
+            settings.linkAddress shouldBe "10.1.0.4:7740"
+            settings.seedAddresses shouldContainExactly listOf("10.1.0.4:7740", "10.2.0.5:7740")
+            settings.graceMs shouldBe 8_000
+        }
+
+        test("settings that lack a name are refused with all that they lack") {
+            val fault = readPlatformSettings("node=a\nip=10.0.0.1").getError().shouldNotBeNull()
+            fault.message shouldContain "zone"
+            fault.message shouldContain "platform.address"
+        }
+
+        test("declarations are translated: the longest prefix, shares, stages, room, keys and bounds") {
+            val config = decodeServingConfig(CONFIG).shouldNotBeNull()
+            config.version shouldBe 7
+            val stream = config.route("SHOP.example", "/a/x").shouldNotBeNull()
+            stream.name shouldBe "r1"
+            stream.isIdempotent shouldBe true
+            stream.shares.map { it.weight } shouldContainExactly listOf(90, 10)
+            config.route("shop.example", "/a/b/c")?.kind shouldBe RouteKind.UNSAFE
+            config.route("shop.example", "/b").shouldBeNull()
+            config.services.getValue("s").batch?.roomBytes shouldBe 8_400_000
+            config.organisationOf("k2")?.rank shouldBe 0
+            config.organisationOf("k3").shouldBeNull()
+            config.limits.idleTimeoutMs shouldBe 9_000
+        }
+
+        test("what is no configuration is told apart from one") {
+            decodeServingConfig("{").shouldBeNull()
+            decodeServingConfig("""{"version":1}""").shouldBeNull()
+        }
+
+        test("an entry of a target is translated, with its incarnation") {
+            val entry = decodeTargetEntry("i-1", ENTRY).shouldNotBeNull()
+            entry.bornMs shouldBe 1780900284873
+            entry.isDraining shouldBe false
+            decodeTargetEntry("i-1", ENTRY.replace("\"ready\"", "\"draining\""))?.isDraining shouldBe true
+        }
+
+        test("entries of other writers name no target") {
+            val foreign = listOf(
+                "", "not json", "[]", "17", "{}",
+                ENTRY.replace("\"ready\"", "\"resting\""),
+                ENTRY.replace("\"10.128.0.9:8080\"", "8080"),
+                ENTRY.replace("\"10.128.0.9:8080\"", "\"nowhere\""),
+                ENTRY.replace("\"slots\":6", "\"slots\":\"six\""),
+                ENTRY.replace("\"service\":\"stock\",", ""),
+                ENTRY.replace("\"zone\":\"west\"", "\"zone\":null"),
+            )
+            foreign.forEach { decodeTargetEntry("i-1", it).shouldBeNull() }
+        }
+
+        test("records of a read get their offsets, and a record without a value removes its key") {
+            fun record(key: String, value: String): ByteArray {
+                val body = byteArrayOf(key.length.toByte()) + key.toByteArray() + value.toByteArray()
+                return ByteBuffer.allocate(4).putInt(body.size).array() + body
+            }
+            val head = ByteBuffer.allocate(16).putLong(12).putLong(3).array()
+            val read = decodeRecords(head + record("a", "one") + record("b", ""), 10).shouldNotBeNull()
+            read.end shouldBe 12
+            read.records.map { Triple(it.key, it.text, it.offset) } shouldContainExactly
+                listOf(Triple("a", "one", 10L), Triple("b", null, 11L))
+            decodeRecords(head + byteArrayOf(0, 0, 0, 9, 1), 10).shouldBeNull()
+            decodeRecords(byteArrayOf(1), 10).shouldBeNull()
+        }
+
+        test("a caller's reserved and connection headers do not reach a target, its own ones do") {
+            val caller = DefaultHttpHeaders()
+                .add("Host", "shop.example").add("Request-Id", "r1").add("Authorization", "Bearer k1")
+                .add("Tenant", "other").add("Hold", "h").add("Pin-Ms", "1").add("Kv-Backup", "x").add("Kv-From", "y")
+                .add("Inputs", "10.0.0.1:80/z").add("Expect-Instance", "i-9").add("Request-Priority", "0")
+                .add("Connection", "keep-alive, X-Hop").add("X-Hop", "1").add("X-Own", "2").add("Model", "m")
+            val sent = encodeSendHeaders(caller, SendHeaders("i-1", "o1", 700, listOf("a/1", "b/2"), null, 2))
+            sent.get("Tenant") shouldBe "o1"
+            sent.get("Expect-Instance") shouldBe "i-1"
+            sent.get("Deadline-Ms") shouldBe "700"
+            sent.get("Inputs") shouldBe "a/1,b/2"
+            sent.get("Request-Priority") shouldBe "2"
+            sent.get("X-Own") shouldBe "2"
+            sent.get("Model") shouldBe "m"
+            listOf("Authorization", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "X-Hop", "Connection")
+                .forEach { sent.get(it).shouldBeNull() }
+        }
+
+        test("a caller's headers are translated") {
+            val headers = DefaultHttpHeaders()
+                .add("Host", "shop.example:80").add("Request-Id", "r1").add("Authorization", "Bearer k1")
+                .add("Deadline-Ms", "2500").add("Token-Counts", "1460,80").add("Pieces", "2,0,6").add("Piece-Key", "p")
+                .add("Prefix-Hash", "5c1e07a2:800,91bd3f06:410")
+            val caller = decodeCallerHeaders(headers)
+            caller.authority shouldBe "shop.example"
+            caller.key shouldBe "k1"
+            caller.pieces shouldContainExactly listOf(2, 0, 6)
+            caller.parts shouldContainExactly listOf(PromptPart("5c1e07a2", 800), PromptPart("91bd3f06", 410))
+            caller.outputTokens shouldBe 80
+        }
+
+        test("the head of an answer tells load, 'not run' and proof") {
+            val headers = DefaultHttpHeaders().add("Server-Load", "3, 1,8").add("Not-Run", "1")
+            val head = decodeAnswerHead(headers)
+            head.load shouldBe ToldLoad(3, 1, 8)
+            head.isNotRun shouldBe true
+            head.isProved shouldBe false
+            decodeAnswerHead(DefaultHttpHeaders().add("Server-Load", "many")).load.shouldBeNull()
+        }
+
+        test("a stage call holds a key or inputs for each piece, never both") {
+            val items = listOf(
+                CallItem("r1", 0, Piece(2, "key1"), 900),
+                CallItem("r2", 1, Piece(0, null, listOf("10.0.0.9:80/a")), 800),
+            )
+            val body = encodeStageRun(STAGE_TARGET, items).body.toString(Charsets.UTF_8)
+            body shouldBe """{"items":[{"id":"r1","stage":0,"piece":2,"left-ms":900,"key":"key1"},""" +
+                """{"id":"r2","stage":1,"piece":0,"left-ms":800,"inputs":["10.0.0.9:80/a"]}]}"""
+        }
+
+        test("a reply to another call is no reply to this one") {
+            val reply = """{"items":[{"handle":"10.0.0.7:80/a"},{"reason":"room"},{"reason":"what"}]}"""
+            decodeStageRun(STAGE_TARGET, 3, reply).shouldNotBeNull() shouldContainExactly
+                listOf(PieceOutcome.Made("10.0.0.7:80/a"), PieceOutcome.NoRoom, PieceOutcome.Failed)
+            decodeStageRun(STAGE_TARGET, 2, reply).shouldBeNull()
+            decodeStageRun(STAGE_TARGET, 1, """{"items":[{"handle":"10.0.0.8:80/a"}]}""").shouldBeNull()
+            decodeStageRun(STAGE_TARGET, 1, "garbage").shouldBeNull()
+        }
+    })
--- /dev/null
+++ b/src/test/kotlin/web/ForwardSpec.kt
@@ -0,0 +1,223 @@
+/*
+ * Forwarding over real sockets: answers matched by id, cut answers told from whole ones, requests whose length can be
+ * read in two ways, and connections that are reused or not.
+ */
+package org.sesamerouter.web
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import io.kotest.matchers.string.shouldStartWith
+import io.netty.buffer.ByteBuf
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import org.sesamerouter.clock.systemClock
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+private const val PATIENCE_S = 20L
+
+/** What a call ended with. */
+private data class Seen(val status: Int, val body: String, val failure: String?, val sent: Boolean)
+
+private class Collector : AnswerListener {
+    val seen = CompletableFuture<Seen>()
+    private var status = 0
+    private val body = StringBuilder()
+
+    override fun onHead(status: Int, headers: HttpHeaders) {
+        this.status = status
+    }
+
+    override fun onBody(content: ByteBuf) {
+        body.append(content.toString(Charsets.UTF_8))
+    }
+
+    override fun onEnd() {
+        seen.complete(Seen(status, body.toString(), null, true))
+    }
+
+    override fun onFailed(sent: Boolean, cause: String) {
+        seen.complete(Seen(status, body.toString(), cause, sent))
+    }
+}
+
+/** A target that answers each connection with the scripted bytes, one script an accepted connection. */
+private class ScriptedTarget(private val scripts: List<(Socket) -> Unit>) : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    val address = "127.0.0.1:${server.localPort}"
+
+    init {
+        Thread {
+            scripts.forEach { script -> server.accept().use(script) }
+        }.apply { isDaemon = true }.start()
+    }
+
+    override fun close() = server.close()
+}
+
+private fun Socket.readHead(): String {
+    val head = StringBuilder()
+    while (!head.endsWith("\r\n\r\n")) {
+        val next = getInputStream().read()
+        if (next < 0) break
+        head.append(next.toChar())
+    }
+    return head.toString()
+}
+
+private fun Socket.write(text: String) = getOutputStream().run {
+    write(text.toByteArray())
+    flush()
+}
+
+private fun answer(id: String, body: String) =
+    "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\nContent-Length: ${body.length}\r\n\r\n$body"
+
+class ForwardSpec :
+    FunSpec({
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        val client = ForwardClient(group.next() as EventLoop, systemClock())
+        afterSpec { group.shutdownGracefully(0, 1, TimeUnit.SECONDS) }
+
+        fun call(address: String, id: String, body: String = ""): Seen {
+            val collector = Collector()
+            val headers = DefaultHttpHeaders().set("Host", "shop.example").set("Request-Id", id)
+            val request = OutgoingRequest("POST", "/a", headers, body.toByteArray(), AnswerId("Request-Id", id))
+            group.execute { client.send(address, request, collector) }
+            return collector.seen.get(PATIENCE_S, TimeUnit.SECONDS)
+        }
+
+        test("a late answer to another request is dropped, the one with the own id is taken") {
+            val script: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write(answer("other", "not yours") + answer("r1", "yours"))
+                socket.readHead()
+            }
+            ScriptedTarget(listOf(script)).use { call(it.address, "r1").body shouldBe "yours" }
+        }
+
+        test("a connection on which more came than the answer is not used again") {
+            val extra: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write(answer("r1", "one") + answer("r1", "again"))
+                socket.readHead()
+            }
+            val clean: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write(answer("r2", "two"))
+                socket.readHead()
+            }
+            ScriptedTarget(listOf(extra, clean)).use {
+                call(it.address, "r1").body shouldBe "one"
+                call(it.address, "r2").body shouldBe "two"
+            }
+        }
+
+        test("an answer shorter than its length is a failure") {
+            val script: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 10\r\n\r\nhalf")
+            }
+            ScriptedTarget(listOf(script)).use { call(it.address, "r1").failure shouldBe "connection closed" }
+        }
+
+        test("an answer without a length is whole when its connection ends, and a failure when it is reset") {
+            val head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nall of it"
+            val ended: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write(head)
+            }
+            ScriptedTarget(listOf(ended)).use { call(it.address, "r1") shouldBe Seen(200, "all of it", null, true) }
+            val reset: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write(head)
+                Thread.sleep(200)
+                socket.setSoLinger(true, 0)
+            }
+            ScriptedTarget(listOf(reset)).use { call(it.address, "r1").failure shouldBe "connection reset" }
+        }
+
+        test("bytes that are no answer are a failure, and a closed port is known to have got nothing") {
+            val script: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write("what is this\r\n\r\n")
+                socket.readHead()
+            }
+            ScriptedTarget(listOf(script)).use { call(it.address, "r1").sent shouldBe true }
+            val closed = ServerSocket(0).use { it.localPort }
+            call("127.0.0.1:$closed", "r1").sent shouldBe false
+        }
+
+        test("after an early answer the rest of a long body still goes out, and nothing else follows it") {
+            val size = 3_000_000
+            val rest = CompletableFuture<Int>()
+            val script: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write(answer("r1", "early"))
+                var count = 0
+                val buffer = ByteArray(65_536)
+                while (count < size) {
+                    val read = socket.getInputStream().read(buffer)
+                    if (read < 0) break
+                    count += read
+                }
+                rest.complete(count)
+            }
+            ScriptedTarget(listOf(script)).use {
+                call(it.address, "r1", "x".repeat(size)).body shouldBe "early"
+            }
+        }
+
+        val limits =
+            RequestLimits(maxHeaderBytes = 2_000, maxBodyBytes = 1_000, headerTimeoutMs = 300, idleTimeoutMs = 400)
+        val server = startRequestServer("127.0.0.1:0", group, systemClock(), { limits }) { request ->
+            request.reply(200, "${request.method} ${request.uri} ${String(request.body)}".toByteArray())
+        }
+
+        fun talk(text: String): String = Socket("127.0.0.1", server.port).use { socket ->
+            socket.soTimeout = 20_000
+            socket.write(text)
+            socket.getInputStream().readBytes().toString(Charsets.UTF_8)
+        }
+
+        test("a request smuggled behind two lengths is rejected and never run") {
+            val smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
+            val both = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n$smuggled"
+            val twice = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: ${smuggled.length}\r\n\r\n$smuggled"
+            val coding = "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n$smuggled"
+            for (text in listOf(both, twice, coding)) {
+                val reply = talk(text)
+                reply shouldStartWith "HTTP/1.1 400"
+                reply shouldNotContain "smuggled"
+            }
+        }
+
+        test("requests with a length, in chunks and one after the other on a connection are answered in order") {
+            val reply = talk(
+                "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc" +
+                    "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ndef\r\n0\r\n\r\n" +
+                    "GET /c HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+            )
+            reply shouldContain "POST /a abc"
+            reply shouldContain "POST /b def"
+            reply shouldContain "GET /c "
+        }
+
+        test("heads and bodies over the bounds are rejected with their own status") {
+            talk("GET /a HTTP/1.1\r\nHost: a\r\nX: ${"y".repeat(3_000)}\r\n\r\n") shouldStartWith "HTTP/1.1 431"
+            talk("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n") shouldStartWith "HTTP/1.1 413"
+        }
+
+        test("a head that does not come to its end is timed out, an idle connection is closed without an answer") {
+            talk("GET /a HTTP/1.1\r\nHost:") shouldStartWith "HTTP/1.1 408"
+            talk("") shouldBe ""
+        }
+    })
