Free results once they are read, bound the wait of late requests, reject at a stop what cannot end

Late requests waited up to their deadline beside the pools or within them. A stopping host cut what it still held. Change: once a target had the time to fetch its inputs their makers free them if a third of the room is taken; late requests wait at most 3 s, then are told when the backlog is gone; late jobs that did not begin within 3 s end; a stop rejects what waits, later what is not sent, and answers the rest before it closes.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -21,6 +21,8 @@
 private const val FULL_ROOM_MS = 400L // results are read by their consumer within about this
 private const val LARGE_RESULT_BYTES = 100_000L
 private const val ROOM_SHARE = 0.92 // sizes are approximate
+private const val SHORT_ROOM_SHARE = 0.35 // a full call takes up to about two thirds of the room
+private const val LATE_LIMIT_MS = 3_000L // results of the stage before lapse soon after
 private const val ROOM_PATIENCE_MS = 300L // results in the way are freed within about this
 private const val SMALL_CALL_SHARE = 3 // a call of less than one in this many places wastes most of its fixed time
 private const val NEAR_WAIT_MS = 400L // a longer wait costs more than a result that crosses data centres
@@ -223,7 +225,9 @@
 
     /** Notes that the consumer of [handles] has probably fetched them; they are freed early where room is short. */
     fun onRead(handles: List<String>, now: Long): List<PoolEffect> {
-        handles.forEach { results[it]?.isRead = true }
+        val known = handles.filter { it in results }
+        known.forEach { results.getValue(it).isRead = true }
+        release(known.filter { results.getValue(it).target.usedBytes > spec.roomBytes * SHORT_ROOM_SHARE })
         return pump(now)
     }
 
@@ -264,10 +268,15 @@
             job.areInputsRead = true
             effects += PoolEffect.InputsRead(job.spec.pieces.flatMap { it.inputs }.distinct())
         }
-        jobs.values.filter { it.deadlineMs <= now }.forEach { end(it, JobOutcome(failure = JobFailure.LATE)) }
+        jobs.values.filter {
+            it.deadlineMs <= now || isHopeless(it, now)
+        }.forEach { end(it, JobOutcome(failure = JobFailure.LATE)) }
         return pump(now)
     }
 
+    /** A late job that has not begun for this long would only wait on. */
+    private fun isHopeless(job: Job, now: Long) = !job.isBegun && now > job.aimMs && now - job.addedMs >= LATE_LIMIT_MS
+
     private fun onAnswered(run: Running, outcome: CallOutcome.Answered, now: Long) {
         val ratio = (now - run.startedMs) / run.expectedMs
         run.target.slowness += SPEED_WEIGHT * (ratio - run.target.slowness)
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -51,6 +51,7 @@
 private const val SLACK_SHARE = 0.6 // of the shared retry slack; the rest covers restarts and changes of membership
 private const val STOP_LEAST_MS = 2_500L // callers have asked for addresses again by then
 private const val STOP_MARGIN_MS = 600L // before the process would be killed
+private const val STOP_REJECT_MS = 1_200L // what is sent later than this would hardly end
 private const val STOP_POLL_MS = 50L
 private const val OK = 200
 private const val NOT_FOUND = 404
@@ -168,14 +169,21 @@
             membership.updateSelf(spread = true) { it.copy(leaving = true, ready = false) }
             news.tellLeaving()
             stages.handBack()
+            flows.rejectWaiting().forEach { apply(it, began) }
         }
         val last = began + settings.graceMs - STOP_MARGIN_MS
         while (clock.nowMs() < last) {
+            val isShort = last - clock.nowMs() < STOP_REJECT_MS
+            if (isShort) onLoop { flows.rejectUnsent().forEach { apply(it, clock.nowMs()) } }
             val busy = onLoop { flows.inProgress + stages.remoteJobs }
             if (busy == 0 && clock.nowMs() - began >= STOP_LEAST_MS) break
             Thread.sleep(STOP_POLL_MS)
         }
-        onLoop { membership.updateSelf(spread = true) { it.copy(status = MemberStatus.LEFT) } }
+        onLoop {
+            flows.endAll().forEach { apply(it, clock.nowMs()) }
+            membership.updateSelf(spread = true) { it.copy(status = MemberStatus.LEFT) }
+            news.tellLeaving()
+        }
         log.write("stopped", "after-ms" to clock.nowMs() - began)
         servers.forEach { it.close() }
         Thread.sleep(STOP_POLL_MS)
@@ -269,6 +277,8 @@
 
             is FlowEffect.CancelStage -> stages.cancel(effect.service, effect.job)
 
+            is FlowEffect.ResultsRead -> stages.tellRead(effect.handles)
+
             is FlowEffect.FreeResults -> stages.free(effect.service, effect.handles)
 
             is FlowEffect.Ended -> {
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -122,7 +122,8 @@
         queues[service]?.let { apply(service, it.onRead(handles, clock.nowMs())) }
     }
 
-    private fun tellRead(handles: List<String>) {
+    /** Tells the owners of the queues that [handles] come from that they were probably fetched. */
+    fun tellRead(handles: List<String>) {
         val byMaker = handles.groupBy { surroundings.targetAt(it.substringBefore('/'))?.service }
         for ((service, of) in byMaker) {
             if (service == null) continue
--- a/src/main/kotlin/routing/PlainTargets.kt
+++ b/src/main/kotlin/routing/PlainTargets.kt
@@ -46,6 +46,12 @@
         )
     }
 
+    /** Whether [entry] told lately that requests wait there. */
+    fun isQueueing(entry: TargetEntry, now: Long): Boolean {
+        val state = stateOf(entry)
+        return now - state.toldMs < LOAD_LIFE_MS && (state.told?.waiting ?: 0) > 0
+    }
+
     /** Counts a send. */
     fun onSend(entry: TargetEntry) {
         stateOf(entry).own++
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -81,7 +81,7 @@
 }
 
 /** Why a request was not served. */
-enum class RejectReason { NO_TARGET, DEADLINE, STAGE_FAILED, TARGETS_REFUSED, QUARANTINED, OUTCOME_UNKNOWN, OVERLOAD }
+enum class RejectReason { NO_TARGET, DEADLINE, STAGE_FAILED, TARGETS_REFUSED, QUARANTINED, OUTCOME_UNKNOWN, OVERLOAD, STOPPING }
 
 /** What is to be done. */
 sealed interface FlowEffect {
@@ -91,6 +91,9 @@
 
     data class FreeResults(val service: String, val handles: List<String>) : FlowEffect
 
+    /** Tells that [handles] were probably fetched by the target. */
+    data class ResultsRead(val handles: List<String>) : FlowEffect
+
     /** Sends the request to [target]; [inputs] are the results that it needs. */
     data class Send(
         val send: SendId,
--- a/src/main/kotlin/serving/LateLane.kt
+++ b/src/main/kotlin/serving/LateLane.kt
@@ -1,10 +1,10 @@
 /*
  * Requests that can no longer meet their objective wait here, beside the pools, until these have room to spare. They
- * hold no results while they wait, and one that cannot be answered at all any more is let go at once.
+ * hold no results while they wait, and none waits for long: it is better told when to come back.
  */
 package org.sesamerouter.serving
 
-/** A request that waits; after [latestStartMs] it cannot be answered before its deadline. */
+/** A request that waits; after [latestStartMs] it is let go. */
 data class LaneEntry(val flow: Long, val rank: Int, val latestStartMs: Long, val sinceMs: Long)
 
 /** The waiting requests of one host, at most [capacity]. Not thread-safe. */
@@ -15,6 +15,9 @@
 
     val size: Int get() = entries.size
 
+    /** Returns the waiting requests. */
+    fun all(): List<Long> = entries.keys.toList()
+
     /** Adds [entry]. */
     fun add(entry: LaneEntry) {
         entries[entry.flow] = entry
@@ -36,7 +39,7 @@
         return out
     }
 
-    /** Takes out the requests that cannot be answered before their deadline any more. */
+    /** Takes out the requests that have waited for too long. */
     fun expired(now: Long): List<Long> {
         val out = entries.values.filter { it.latestStartMs < now }.map { it.flow }
         out.forEach(entries::remove)
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -22,12 +22,15 @@
 private const val MAX_STAGE_RUNS = 2
 private const val FIRST_EVENT_MS = 100L // an engine's time to the first event beside the reading of the prompt
 private const val RETRY_AFTER_MS = 400L
-private const val OVERLOAD_RETRY_MS = 2_000L // bursts of callers last some seconds
+private const val LONGEST_RETRY_MS = 4_000L // bursts of callers last some seconds
+private const val LANE_WAIT_MS = 3_000L
+private const val LANE_WAIT_PART = 6 // of the time that the caller waits
 private const val MAX_IN_LANE = 24 // what the pools catch up with within a caller's deadline after a burst
 private const val MAX_FROM_LANE = 2 // of one host at a time, so that all hosts together do not flood the pools
 private const val SPARE_FACTOR = 1.2 // pools are calm when the way through takes hardly longer than without queues
 private const val LARGE_BYTES = 200_000L // fewer cost little on the way to another data centre
 private const val EARLY_MARGIN_MS = 200L // a call that takes longer than expected still ends with the others
+private const val FETCH_MS = 120L // an engine without a queue fetches inputs within some ms
 private const val LEAST_SEND_MS = 20L // a send with less time left only wastes the target's work
 private const val FIRST_FAULT_STATUS = 500
 private const val NOT_RUN_STATUS = 503
@@ -84,6 +87,7 @@
 
     private class Sent(val id: SendId, val target: TargetEntry, val unread: Long, val sentMs: Long) {
         var isRead = false
+        var areInputsTold = false
     }
 
     private val flows = LinkedHashMap<Long, Flow>()
@@ -108,6 +112,10 @@
             is FlowEvent.CallerLeft -> flows[event.flow]?.let { abandon(it, "caller left") }
             FlowEvent.Tick -> onTick(now)
         }
+        return drain()
+    }
+
+    private fun drain(): List<FlowEffect> {
         val out = effects.toList()
         effects.clear()
         return out
@@ -122,11 +130,32 @@
         } else if (isTimely(flow, now)) {
             startStages(flow, now)
         } else {
-            lane.add(LaneEntry(request.flow, request.rank, request.deadlineMs - bestMs(flow), now))
-            lane.overflow(now).forEach { id -> flows[id]?.let { reject(it, RejectReason.OVERLOAD, OVERLOAD_RETRY_MS) } }
+            waitBeside(flow, now)
         }
     }
 
+    /** Lets a request wait for calm pools, if they may be calm soon. */
+    private fun waitBeside(flow: Flow, now: Long) {
+        val request = flow.request
+        val longestMs = minOf(LANE_WAIT_MS, (request.deadlineMs - now) / LANE_WAIT_PART)
+        if (backlogMs(flow) > longestMs * 2) {
+            reject(flow, RejectReason.OVERLOAD, retryAfterMs(flow))
+            return
+        }
+        val latest = minOf(now + longestMs, request.deadlineMs - bestMs(flow))
+        lane.add(LaneEntry(request.flow, request.rank, latest, now))
+        lane.overflow(now).forEach(::rejectFromLane)
+    }
+
+    private fun rejectFromLane(id: Long) {
+        flows[id]?.let { reject(it, RejectReason.OVERLOAD, retryAfterMs(it)) }
+    }
+
+    /** Time until the pools on the way have done what waits there now. */
+    private fun backlogMs(flow: Flow): Long = maxOf(0, chainMs(flow) { surroundings.stageMs(it) } - bestMs(flow))
+
+    private fun retryAfterMs(flow: Flow): Long = (backlogMs(flow) + RETRY_AFTER_MS).coerceAtMost(LONGEST_RETRY_MS)
+
     /** Whether the request would meet its objective if its stages began now. */
     private fun isTimely(flow: Flow, now: Long): Boolean {
         val expected = chainMs(flow) { surroundings.stageMs(it) }
@@ -454,8 +483,9 @@
     private fun budgetOf(service: String) = budgets.getOrPut(service, newBudget)
 
     private fun onTick(now: Long) {
-        lane.expired(now).forEach { id -> flows[id]?.let { reject(it, RejectReason.OVERLOAD, OVERLOAD_RETRY_MS) } }
+        lane.expired(now).forEach(::rejectFromLane)
         startFromLane(now)
+        flows.values.forEach { tellInputsRead(it, now) }
         flows.values.filter { it.request.deadlineMs <= now }.forEach { flow ->
             if (flow.send != null) flow.mayHaveRun = true
             flow.send?.let { effects += FlowEffect.CancelSend(it.id) }
@@ -463,6 +493,39 @@
         }
     }
 
+    /** An engine without a queue has fetched its inputs well before its first event. */
+    private fun tellInputsRead(flow: Flow, now: Long) {
+        val sent = flow.send ?: return
+        if (sent.areInputsTold || sent.isRead || now - sent.sentMs < FETCH_MS) return
+        sent.areInputsTold = true
+        val handles = finalHandles(flow)
+        if (handles.isNotEmpty() && !plain.isQueueing(sent.target, now)) effects += FlowEffect.ResultsRead(handles)
+    }
+
+    /** Rejects what has not been sent to its target; for a stop, when no time is left for it. */
+    fun rejectUnsent(): List<FlowEffect> {
+        flows.values.filter { it.send == null && !it.isBegun }.toList().forEach { giveUp(it, RejectReason.STOPPING) }
+        return drain()
+    }
+
+    /** Ends everything that is left with the best answer that is true; for the end of a stop. */
+    fun endAll(): List<FlowEffect> {
+        flows.values.toList().forEach { flow ->
+            flow.send?.let {
+                flow.mayHaveRun = true
+                effects += FlowEffect.CancelSend(it.id)
+            }
+            giveUp(flow, RejectReason.STOPPING)
+        }
+        return drain()
+    }
+
+    /** Rejects what waits beside the pools; for a stop, since other hosts may have room for it. */
+    fun rejectWaiting(): List<FlowEffect> {
+        lane.all().forEach { id -> flows[id]?.let { reject(it, RejectReason.STOPPING, RETRY_AFTER_MS) } }
+        return drain()
+    }
+
     /** Ends a request with the best answer that is true. */
     private fun giveUp(flow: Flow, reason: RejectReason) {
         val id = flow.request.flow
@@ -483,7 +546,7 @@
                 end(flow, "rejected: $reason")
             }
 
-            else -> reject(flow, reason, RETRY_AFTER_MS)
+            else -> reject(flow, reason, retryAfterMs(flow))
         }
     }
 
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -184,7 +184,9 @@
             val host = Host()
             val first = host.arrive(route(RouteKind.STREAM, stages = STAGES), listOf(0, 1, 1)).jobs().single()
             val second = host.handle(FlowEvent.StageEnded(first.job, JobOutcome(listOf("x:1/a")))).jobs().single()
-            val again = host.handle(FlowEvent.StageEnded(second.job, JobOutcome(failure = JobFailure.INPUT_GONE))).jobs()
+            val again = host.handle(
+                FlowEvent.StageEnded(second.job, JobOutcome(failure = JobFailure.INPUT_GONE)),
+            ).jobs()
             again.single().stage shouldBe 1
         }
 
