Tell the backlog of a pool by rank, protect a share of each kind, reject early in an overload

Change: owners tell for each rank how long a job takes that is added now; a request waits beside the pools for at most an eighth of its objective and only for a short backlog, else it is told at once when the backlog is gone; 40% of each kind count as the most urgent, so that none starves; late jobs that have not begun end after 1.5 s. Pieces still find no room right after an owner was lost.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -7,7 +7,6 @@
  */
 package org.sesamerouter.batching
 
-import kotlinx.serialization.Serializable
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.serving.BatchSpec
 
@@ -22,91 +21,14 @@
 private const val LARGE_RESULT_BYTES = 100_000L
 private const val ROOM_SHARE = 0.92 // sizes are approximate
 private const val SHORT_ROOM_SHARE = 0.35 // a full call takes up to about two thirds of the room
-private const val LATE_LIMIT_MS = 3_000L // results of the stage before lapse soon after
+private const val LATE_LIMIT_MS = 1_500L // a late job that has not begun by then has little hope in a backlog
+private const val HIGHEST_RANK = -1
 private const val ROOM_PATIENCE_MS = 300L // results in the way are freed within about this
 private const val SMALL_CALL_SHARE = 3 // a call of less than one in this many places wastes most of its fixed time
 private const val NEAR_WAIT_MS = 400L // a longer wait costs more than a result that crosses data centres
 private const val NEAR_SLACK_MS = 150L
 private const val FETCH_MS = 60L // a target that was free fetches the inputs of a call within a few ms
 
-/** One piece; pieces without inputs start from [key]. */
-@Serializable
-data class Piece(val number: Int, val key: String? = null, val inputs: List<String> = emptyList())
-
-/**
- * The pieces of one stage of one request.
- *
- * @property request the caller's id of the request.
- * @property aimLeftMs time until the stage has to be done for the request to meet its objective.
- * @property deadlineLeftMs time until the result is of no use.
- * @property stagesLeft stages of the request that follow this one.
- * @property dataCentre where large results will probably be read; null when it does not matter.
- */
-@Serializable
-data class StageJob(
-    val job: String,
-    val request: String,
-    val service: String,
-    val stage: Int,
-    val pieces: List<Piece>,
-    val resultBytes: Long,
-    val rank: Int,
-    val aimLeftMs: Long,
-    val deadlineLeftMs: Long,
-    val stagesLeft: Int = 0,
-    val dataCentre: String? = null,
-)
-
-/** Why a job ended without results. */
-@Serializable
-enum class JobFailure { LATE, INPUT_GONE, FAILED, CANCELLED, MOVED }
-
-/** Results of a job in the order of its pieces, or why there are none. */
-@Serializable
-data class JobOutcome(val handles: List<String> = emptyList(), val failure: JobFailure? = null)
-
-/** One piece within a call. */
-data class CallItem(val request: String, val stage: Int, val piece: Piece, val leftMs: Long)
-
-/** What became of one piece of a call. */
-sealed interface PieceOutcome {
-    data class Made(val handle: String) : PieceOutcome
-
-    data object Late : PieceOutcome
-
-    data object InputGone : PieceOutcome
-
-    data object NoRoom : PieceOutcome
-
-    data object Failed : PieceOutcome
-}
-
-/** How a call ended. */
-sealed interface CallOutcome {
-    /** The target answered for every item, in their order. */
-    data class Answered(val items: List<PieceOutcome>) : CallOutcome
-
-    /** The target did not take the call. */
-    data object Refused : CallOutcome
-
-    /** The call failed. */
-    data class Failed(val cause: String) : CallOutcome
-}
-
-/** What the owner of a queue has to do. */
-sealed interface PoolEffect {
-    data class Call(val call: Long, val target: TargetEntry, val items: List<CallItem>, val timeoutMs: Long) :
-        PoolEffect
-
-    /** Frees [handles]; [release] is to be given back once the target has done so. */
-    data class Free(val release: Long, val target: TargetEntry, val handles: List<String>) : PoolEffect
-
-    /** Targets have probably fetched [inputs], so their makers may free them if they need the room. */
-    data class InputsRead(val inputs: List<String>) : PoolEffect
-
-    data class Done(val job: String, val outcome: JobOutcome) : PoolEffect
-}
-
 /** The queue of the pool [service]. Not thread-safe. */
 class PieceQueue(val service: String, private var spec: BatchSpec) {
     private class Job(val spec: StageJob, val addedMs: Long, val sequence: Long) {
@@ -167,11 +89,22 @@
     var pieceCount = 0L
         private set
 
-    /** Expected time until a piece that is added now has its result. */
-    fun expectedMs(): Double {
-        val usable = maxOf(1, targets.values.count { it.isListed })
-        val callMs = spec.expectedMs(spec.maxPieces)
-        return waiting / (usable * spec.maxPieces.toDouble()) * callMs + spec.expectedMs(spec.maxPieces / 2 + 1)
+    /** Returns for each rank how long a job of it takes that is added now. Jobs of lower ranks and late ones yield. */
+    fun expectedMs(now: Long): RankedTimes {
+        val (begun, fresh) = jobs.values.filter { it.waiting.isNotEmpty() }.partition { it.isBegun }
+        val ahead = begun.sumOf { it.waiting.size }
+        val freeMs = usableTargets(now).map { freeAtMs(it, now) }.sorted()
+        if (freeMs.isEmpty()) return RankedTimes(emptyMap())
+        val timely = timelyJobs(fresh, ahead, now).groupBy { it.spec.rank }.toSortedMap()
+        val typical = spec.maxPieces / 2 + 1
+        val times = HashMap<Int, Double>()
+        var pieces = ahead + typical
+        times[HIGHEST_RANK] = finishMs(pieces, freeMs) - now
+        for ((rank, of) in timely) {
+            pieces += of.sumOf { it.waiting.size }
+            times[rank] = finishMs(pieces, freeMs) - now
+        }
+        return RankedTimes(times)
     }
 
     /** Takes over the pool's bounds. */
@@ -496,6 +429,6 @@
         val expected = spec.expectedMs(items.size)
         running[call] = Running(target, items, now, expected)
         val wire = items.map { CallItem(it.job.spec.request, it.job.spec.stage, it.piece, it.job.deadlineMs - now) }
-        effects += PoolEffect.Call(call, target.entry, wire, wire.maxOf { it.leftMs })
+        effects += PoolEffect.Call(call, target.entry, wire, wire.maxOf { it.leftMs }, target.usedBytes)
     }
 }
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -406,7 +406,7 @@
             return maxOf(1, most / maxOf(1, membership.live().size))
         }
 
-        override fun stageMs(service: String) = stages.stageMs(service)
+        override fun stageMs(service: String, rank: Int) = stages.stageMs(service, rank)
 
         override fun idleStageMs(service: String) = stages.idleStageMs(service)
     }
--- a/src/main/kotlin/front/NewsAdapter.kt
+++ b/src/main/kotlin/front/NewsAdapter.kt
@@ -89,7 +89,7 @@
         nextMs = now + NEWS_EVERY_MS
         val read = pendingRead
         val engines = host.engines.takeNews(now)
-        val pools = host.stages.news()
+        val pools = host.stages.news(now)
         val isNewVersion = version() != toldVersion
         val isQuiet = engines.isEmpty() && pools.isEmpty()
         if (read == null && isQuiet && !isNewVersion) return
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -7,8 +7,10 @@
 import org.sesamerouter.batching.CallOutcome
 import org.sesamerouter.batching.JobFailure
 import org.sesamerouter.batching.JobOutcome
+import org.sesamerouter.batching.PieceOutcome
 import org.sesamerouter.batching.PieceQueue
 import org.sesamerouter.batching.PoolEffect
+import org.sesamerouter.batching.RankedTimes
 import org.sesamerouter.batching.StageJob
 import org.sesamerouter.clock.Clock
 import org.sesamerouter.discovery.TargetEntry
@@ -22,6 +24,7 @@
 
 private const val REPLY_MARGIN_MS = 300L
 private const val POOL_NEWS_LIFE_MS = 2_000L
+private const val OWN_TIMES_LIFE_MS = 50L // a queue changes little within this
 private const val MAX_OWNERS = 4
 
 /** Does the calls to targets that queues ask for. */
@@ -63,7 +66,7 @@
     private val queues = HashMap<String, PieceQueue>()
     private val remoteReplies = HashMap<String, (JobOutcome) -> Unit>()
     private val toFree = HashMap<String, MutableList<String>>()
-    private val told = HashMap<String, Pair<Double, Long>>()
+    private val told = HashMap<String, Pair<RankedTimes, Long>>()
 
     /** Pieces that wait in the queues of this host. */
     val waiting: Int get() = queues.values.sumOf { it.waiting }
@@ -164,12 +167,19 @@
         pending.values.filter { it.owner == host }.forEach(::place)
     }
 
-    /** Expected time of a stage in [service], with its queue. */
-    fun stageMs(service: String): Double {
+    /** Expected time of a stage in [service] for a request of [rank], with its queue. */
+    fun stageMs(service: String, rank: Int): Double {
         val now = clock.nowMs()
-        queues[service]?.takeIf { it.waiting > 0 || it.calls > 0 }?.let { return it.expectedMs() }
-        told[service]?.takeIf { now - it.second < POOL_NEWS_LIFE_MS }?.let { return it.first }
-        return idleStageMs(service)
+        val own = queues[service]?.takeIf { it.waiting > 0 || it.calls > 0 }
+        val known = if (own != null) ownTimes(service, own, now) else told[service]
+        val isFresh = known != null && now - known.second < POOL_NEWS_LIFE_MS
+        return known?.first?.of(rank).takeIf { isFresh } ?: idleStageMs(service)
+    }
+
+    private fun ownTimes(service: String, queue: PieceQueue, now: Long): Pair<RankedTimes, Long> {
+        val last = told[service]
+        if (last != null && now - last.second < OWN_TIMES_LIFE_MS) return last
+        return (queue.expectedMs(now) to now).also { told[service] = it }
     }
 
     /** Expected time of a stage in [service] without a queue. */
@@ -179,7 +189,8 @@
     }
 
     /** What this host tells of the queues that it owns. */
-    fun news(): List<PoolNews> = queues.filter { it.value.calls > 0 }.map { PoolNews(it.key, it.value.expectedMs()) }
+    fun news(now: Long): List<PoolNews> =
+        queues.filter { it.value.calls > 0 }.map { PoolNews(it.key, ownTimes(it.key, it.value, now).first) }
 
     /** Takes in what an owner tells. */
     fun onNews(pools: List<PoolNews>, now: Long) {
@@ -281,6 +292,19 @@
         }
     }
 
+    private fun logFailures(service: String, call: PoolEffect.Call, outcome: CallOutcome) {
+        val items = (outcome as? CallOutcome.Answered)?.items.orEmpty().filter { it !is PieceOutcome.Made }
+        if (items.isEmpty()) return
+        val reasons = items.groupingBy { it::class.simpleName }.eachCount()
+        log.write(
+            "pieces-not-made",
+            "service" to service,
+            "call" to call.call,
+            "target" to call.target.id,
+            "why" to reasons,
+        )
+    }
+
     private fun startCall(service: String, call: PoolEffect.Call) {
         log.write(
             "stage-call",
@@ -293,6 +317,7 @@
         )
         val most = surroundings.config?.services?.get(service)?.maxConnections ?: 1
         calls.run(call, most) { outcome ->
+            logFailures(service, call, outcome)
             queues[service]?.let { apply(service, it.onCallEnded(call.call, outcome, clock.nowMs())) }
         }
     }
--- a/src/main/kotlin/membership/ServingMessages.kt
+++ b/src/main/kotlin/membership/ServingMessages.kt
@@ -6,13 +6,14 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.sesamerouter.batching.JobOutcome
+import org.sesamerouter.batching.RankedTimes
 import org.sesamerouter.batching.StageJob
 import org.sesamerouter.discovery.EntryRead
 import org.sesamerouter.engine.EngineNews
 
 /** Expected time of a stage in a pool, told by the host that owns the pool's queue. */
 @Serializable
-data class PoolNews(val service: String, val expectedMs: Double)
+data class PoolNews(val service: String, val expectedMs: RankedTimes)
 
 /** Requests between hosts that forward requests. */
 @Serializable
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -23,8 +23,9 @@
 private const val FIRST_EVENT_MS = 100L // an engine's time to the first event beside the reading of the prompt
 private const val RETRY_AFTER_MS = 400L
 private const val LONGEST_RETRY_MS = 4_000L // bursts of callers last some seconds
-private const val LANE_WAIT_MS = 3_000L
-private const val LANE_WAIT_PART = 6 // of the time that the caller waits
+private const val LANE_WAIT_PART = 8 // of the objective; after that the caller is told when to come back
+private const val PERCENT = 100
+private const val PROTECTED_PERCENT = 40
 private const val MAX_IN_LANE = 24 // what the pools catch up with within a caller's deadline after a burst
 private const val MAX_FROM_LANE = 2 // of one host at a time, so that all hosts together do not flood the pools
 private const val SPARE_FACTOR = 1.2 // pools are calm when the way through takes hardly longer than without queues
@@ -52,8 +53,8 @@
     /** Most connections of this host to one target of [service]. */
     fun connectionShare(service: String): Int
 
-    /** Expected time of a stage in the pool [service], with its queue. */
-    fun stageMs(service: String): Double
+    /** Expected time of a stage in the pool [service] for a request of [rank], with its queue. */
+    fun stageMs(service: String, rank: Int): Double
 
     /** Expected time of a stage in the pool [service] without a queue. */
     fun idleStageMs(service: String): Double
@@ -69,6 +70,9 @@
     private val newBudget: () -> Budget,
 ) {
     private class Flow(val request: ForwardRequest) {
+        /** Rank in the pools; some of each kind count as the most urgent, so that no kind starves in an overload. */
+        val rank = if (Math.floorMod(request.id.hashCode(), PERCENT) < PROTECTED_PERCENT) 0 else request.rank
+
         val handles = arrayOfNulls<List<String>>(request.route.stages.size)
         val jobs = HashMap<String, Int>()
         val startedStages = HashSet<Int>()
@@ -137,13 +141,13 @@
     /** Lets a request wait for calm pools, if they may be calm soon. */
     private fun waitBeside(flow: Flow, now: Long) {
         val request = flow.request
-        val longestMs = minOf(LANE_WAIT_MS, (request.deadlineMs - now) / LANE_WAIT_PART)
+        val longestMs = request.route.aimMs / LANE_WAIT_PART
         if (backlogMs(flow) > longestMs * 2) {
             reject(flow, RejectReason.OVERLOAD, retryAfterMs(flow))
             return
         }
         val latest = minOf(now + longestMs, request.deadlineMs - bestMs(flow))
-        lane.add(LaneEntry(request.flow, request.rank, latest, now))
+        lane.add(LaneEntry(request.flow, flow.rank, latest, now))
         lane.overflow(now).forEach(::rejectFromLane)
     }
 
@@ -152,13 +156,16 @@
     }
 
     /** Time until the pools on the way have done what waits there now. */
-    private fun backlogMs(flow: Flow): Long = maxOf(0, chainMs(flow) { surroundings.stageMs(it) } - bestMs(flow))
+    private fun backlogMs(flow: Flow): Long = maxOf(
+        0,
+        chainMs(flow) { surroundings.stageMs(it, flow.rank) } - bestMs(flow),
+    )
 
     private fun retryAfterMs(flow: Flow): Long = (backlogMs(flow) + RETRY_AFTER_MS).coerceAtMost(LONGEST_RETRY_MS)
 
     /** Whether the request would meet its objective if its stages began now. */
     private fun isTimely(flow: Flow, now: Long): Boolean {
-        val expected = chainMs(flow) { surroundings.stageMs(it) }
+        val expected = chainMs(flow) { surroundings.stageMs(it, flow.rank) }
         return now + expected <= flow.request.arrivedMs + flow.request.route.aimMs
     }
 
@@ -183,7 +190,8 @@
         startStages(flow, now)
     }
 
-    private fun isSpare(flow: Flow): Boolean = chainMs(flow) { surroundings.stageMs(it) } <= bestMs(flow) * SPARE_FACTOR
+    private fun isSpare(flow: Flow): Boolean =
+        chainMs(flow) { surroundings.stageMs(it, flow.rank) } <= bestMs(flow) * SPARE_FACTOR
 
     private fun startStages(flow: Flow, now: Long) {
         val stages = flow.request.route.stages
@@ -203,13 +211,16 @@
         val stages = flow.request.route.stages
         if (nextStages(flow, number).isNotEmpty()) return false
         val others = stages.indices.filter { it != number && piecesOf(flow, it) > 0 && flow.handles[it] == null }
-        val left = others.maxOfOrNull { stageMs(flow, it) + restMs(flow, it, surroundings::stageMs) } ?: return false
-        val own = stageMs(flow, number) + restMs(flow, number, surroundings::stageMs)
+        val left = others.maxOfOrNull { leftMs(flow, it) } ?: return false
+        val own = leftMs(flow, number)
         return left > own + EARLY_MARGIN_MS
     }
 
-    private fun stageMs(flow: Flow, stage: Int): Long =
-        surroundings.stageMs(flow.request.route.stages[stage].service).toLong()
+    /** Expected time from the begin of [stage] to the first event. */
+    private fun leftMs(flow: Flow, stage: Int): Long {
+        val stageMs = { service: String -> surroundings.stageMs(service, flow.rank) }
+        return stageMs(flow.request.route.stages[stage].service).toLong() + restMs(flow, stage, stageMs)
+    }
 
     private fun piecesOf(flow: Flow, stage: Int): Int = flow.request.pieces.getOrElse(stage) { 0 }
 
@@ -218,7 +229,7 @@
         val stage = request.route.stages[number]
         val inputs = stage.after.flatMap { flow.handles[it].orEmpty() }
         val key = if (inputs.isEmpty()) request.pieceKey else null
-        val rest = restMs(flow, number) { surroundings.stageMs(it) }
+        val rest = restMs(flow, number) { surroundings.stageMs(it, flow.rank) }
         val job = StageJob(
             job = "${request.id}/$number/${jobSequence++}",
             request = request.id,
@@ -226,7 +237,7 @@
             stage = number,
             pieces = List(piecesOf(flow, number)) { Piece(it, key, inputs) },
             resultBytes = stage.resultBytes,
-            rank = request.rank,
+            rank = flow.rank,
             aimLeftMs = request.arrivedMs + request.route.aimMs - rest - now,
             deadlineLeftMs = request.deadlineMs - rest / 2 - now,
             stagesLeft = stagesAfter(flow, number),
