Refuse a request that crashes its targets after the third

Cause: nothing told deaths of targets from lost answers, so a request that crashes each target that runs it would have gone on through all of them. Change: CrashWatch ties a lost answer to a death once the target is seen down or started again; the notice goes to the other hosts; after three different incarnations the content is refused as not run for a minute. Measured: the new case failed before and passes; QuarantineSpec unchanged.

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -47,7 +47,9 @@
 
 private const val TICK_MS = 25L
 private const val PROBE_INTERVAL_MS = 400L // a dead host is out of the address answers within a few of these
-private const val QUARANTINE_MS = 600_000L
+private const val QUARANTINE_MS = 60_000L // a request that crashes targets comes again within seconds
+private const val QUARANTINE_CAPACITY = 4_096
+private const val DEATHS_TO_QUARANTINE = 3 // two deaths beside a request happen by chance when a quarter of a service crashes
 private const val SLACK_SHARE = 0.6 // of the shared retry slack; the rest covers restarts and changes of membership
 private const val STOP_LEAST_MS = 2_500L // callers have asked for addresses again by then
 private const val STOP_MARGIN_MS = 600L // before the process would be killed
@@ -82,11 +84,12 @@
     private val exchanges = CallerExchanges(this, client, traffic, clock, log, metrics)
     internal val stages =
         StageRouter(this, StageCallAdapter(client, traffic, loop, log, metrics), peers, clock, log, ::onStageEnded)
+    internal val quarantine = Quarantine(QUARANTINE_MS, QUARANTINE_CAPACITY, DEATHS_TO_QUARANTINE)
     private val flows = RequestFlows(
         Surroundings(),
         engines,
         plain,
-        Quarantine(QUARANTINE_MS),
+        quarantine,
         settings.dataCentre,
         ::newBudget,
     )
@@ -281,6 +284,11 @@
 
             is FlowEffect.FreeResults -> stages.free(effect.service, effect.handles)
 
+            is FlowEffect.ShareDeath -> {
+                log.write("target-death", "target" to effect.notice.target, "request" to effect.notice.fingerprint)
+                news.tellDeath(effect.notice)
+            }
+
             is FlowEffect.Ended -> {
                 metrics.ended(effect.outcome.substringBefore(':'))
                 log.write("ended", "flow" to effect.flow, "outcome" to effect.outcome, "sends" to effect.sends)
@@ -366,6 +374,8 @@
 
     private fun onTargetsChanged(now: Long) {
         val all = directory.targets.values
+        val died = targetsByService.values.flatten().filter { directory.targets[it.id]?.bornMs != it.bornMs }
+        died.forEach { post(FlowEvent.TargetDied(it.id, it.bornMs), now) }
         targetsByService = all.filter { !it.isDraining }.groupBy { it.service }
         targetsByAddress = all.associateBy { it.address }
         engines.update(all.filter { config?.services?.get(it.service)?.engine != null })
--- a/src/main/kotlin/front/NewsAdapter.kt
+++ b/src/main/kotlin/front/NewsAdapter.kt
@@ -14,6 +14,7 @@
 import org.sesamerouter.membership.ServingRequest
 import org.sesamerouter.membership.StageReply
 import org.sesamerouter.membership.StateReply
+import org.sesamerouter.quarantine.DeathNotice
 
 private const val NEWS_EVERY_MS = 250L // engines begin a prompt within about this
 private const val STATE_TIMEOUT_MS = 500L
@@ -59,6 +60,11 @@
 
             ServingRequest.Ping -> reply(PeerReply.Taken)
 
+            is PeerRequest.Deaths -> {
+                request.notices.forEach { host.quarantine.onDeath(it, host.clock.nowMs()) }
+                reply(PeerReply.Taken)
+            }
+
             // Requests of the product's own interface; the asker has its own timeout.
             else -> Unit
         }
@@ -78,6 +84,11 @@
         nextMs = 0
     }
 
+    /** Tells the other hosts at once of a death, since the request comes again to any of them. */
+    fun tellDeath(notice: DeathNotice) {
+        others().forEach { host.link.request(it.peer, PeerRequest.Deaths(listOf(notice)), STATE_TIMEOUT_MS) {} }
+    }
+
     /** Tells the other hosts at once that this one leaves, so that they give it no more work. */
     fun tellLeaving() {
         others().forEach { host.link.sendProbe(host.membership.ping(it)) }
--- a/src/main/kotlin/quarantine/Quarantine.kt
+++ b/src/main/kotlin/quarantine/Quarantine.kt
@@ -26,8 +26,13 @@
  *
  * @param expiryMs how long a death counts after the last one.
  * @param capacity most fingerprints kept; the one whose last death is oldest is dropped first.
+ * @param deathsToQuarantine deaths of different targets after which a request is refused.
  */
-class Quarantine(private val expiryMs: Long = 600_000, private val capacity: Int = 4_096) {
+class Quarantine(
+    private val expiryMs: Long = 600_000,
+    private val capacity: Int = 4_096,
+    private val deathsToQuarantine: Int = DEATHS_TO_QUARANTINE,
+) {
     private val suspects = LinkedHashMap<String, Suspect>()
 
     private class Suspect(var lastDeathMs: Long) {
@@ -60,7 +65,7 @@
         val suspect = suspects[fingerprint] ?: return Standing.CLEAR
         return when {
             now - suspect.lastDeathMs >= expiryMs -> Standing.CLEAR
-            suspect.deaths.size >= DEATHS_TO_QUARANTINE -> Standing.QUARANTINED
+            suspect.deaths.size >= deathsToQuarantine -> Standing.QUARANTINED
             else -> Standing.SUSPECT
         }
     }
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -7,6 +7,7 @@
 import org.sesamerouter.batching.StageJob
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.engine.PromptPart
+import org.sesamerouter.quarantine.DeathNotice
 import org.sesamerouter.routing.ToldLoad
 
 /**
@@ -77,6 +78,9 @@
 
     data class CallerLeft(val flow: Long) : FlowEvent
 
+    /** An incarnation of a target ended without having drained. */
+    data class TargetDied(val target: String, val bornMs: Long) : FlowEvent
+
     data object Tick : FlowEvent
 }
 
@@ -116,6 +120,9 @@
     /** Ends an answer that was begun and cannot be completed. */
     data class Cut(val flow: Long) : FlowEffect
 
+    /** A target died of, or beside, a request; the other hosts have to know. */
+    data class ShareDeath(val notice: DeathNotice) : FlowEffect
+
     /** The request is over and forgotten. */
     data class Ended(val flow: Long, val outcome: String, val sends: Int) : FlowEffect
 }
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -13,6 +13,7 @@
 import org.sesamerouter.engine.Prompt
 import org.sesamerouter.engine.READ_TOKENS_PER_MS
 import org.sesamerouter.pipeline.Budget
+import org.sesamerouter.quarantine.CrashWatch
 import org.sesamerouter.quarantine.Quarantine
 import org.sesamerouter.quarantine.Standing
 import org.sesamerouter.routing.PlainTargets
@@ -98,6 +99,7 @@
     private val flowOfJob = HashMap<String, Flow>()
     private val budgets = HashMap<String, Budget>()
     private val effects = ArrayList<FlowEffect>()
+    private val crashes = CrashWatch()
     private val lane = LateLane(MAX_IN_LANE)
     private val startedFromLane = HashSet<Long>()
     private var jobSequence = 0L
@@ -114,6 +116,7 @@
             is FlowEvent.AnswerEnded -> onAnswerEnded(event, now)
             is FlowEvent.SendFailed -> onSendFailed(event, now)
             is FlowEvent.CallerLeft -> flows[event.flow]?.let { abandon(it, "caller left") }
+            is FlowEvent.TargetDied -> onDown(event.target, event.bornMs, now)
             FlowEvent.Tick -> onTick(now)
         }
         return drain()
@@ -418,6 +421,7 @@
         endSend(flow, sent)
         when (val failure = event.failure) {
             is SendFailure.NotSent -> {
+                onDown(sent.target.id, sent.target.bornMs, now)
                 onTargetFailure(sent, isDown = true, now)
                 sendAgain(flow, RejectReason.TARGETS_REFUSED, now)
             }
@@ -443,6 +447,7 @@
             is SendFailure.Lost -> {
                 flow.mayHaveRun = true
                 flow.runs++
+                noteLoss(flow, sent, now)
                 onTargetFailure(sent, isDown = false, now)
                 runAgain(flow, now)
             }
@@ -451,6 +456,15 @@
         }
     }
 
+    private fun noteLoss(flow: Flow, sent: Sent, now: Long) =
+        crashes.onLost(flow.request.fingerprint, sent.target.id, sent.target.bornMs.toString(), now)
+
+    private fun onDown(target: String, bornMs: Long, now: Long) {
+        for (notice in crashes.onDown(target, bornMs.toString(), now)) {
+            if (quarantine.onDeath(notice, now)) effects += FlowEffect.ShareDeath(notice)
+        }
+    }
+
     private fun onTargetFailure(sent: Sent, isDown: Boolean, now: Long) {
         plain.onFailure(sent.target, isDown, now)
         engines.onFailure(sent.target.id, isDown, now)
@@ -459,6 +473,7 @@
     private fun onBroken(flow: Flow, sent: Sent, failure: SendFailure.Broken, now: Long) {
         flow.mayHaveRun = true
         flow.runs++
+        noteLoss(flow, sent, now)
         onTargetFailure(sent, isDown = false, now)
         val mayResume = flow.request.route.isResumable && failure.isAtEvent && mayRunAgain(flow, now)
         if (mayResume && budgetOf(flow.request.service).trySpend()) {
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -73,7 +73,7 @@
 private class Host(budget: () -> Budget = { Budget(1.0, 100.0) }) {
     val surroundings = FixedSurroundings()
     private val engines = EngineTable().also { it.update(surroundings.targets) }
-    val quarantine = Quarantine()
+    val quarantine = Quarantine(deathsToQuarantine = 3)
     val flows = RequestFlows(surroundings, engines, PlainTargets(), quarantine, "a", budget)
     var now = 0L
 
@@ -238,6 +238,26 @@
             host.flows.inProgress shouldBe 0
         }
 
+        test(
+            "a request that crashes its targets is refused after the third, and an answer that was only lost is no crash",
+        ) {
+            val host = Host()
+            val route = route(RouteKind.SAFE, attempts = 5)
+            var send = host.arrive(route).sends().single()
+            host.handle(FlowEvent.TargetDied("other", 1)).shouldBeEmpty()
+            repeat(3) { death ->
+                val effects = host.handle(FlowEvent.SendFailed(send.send, SendFailure.Lost("reset")))
+                val died = host.handle(FlowEvent.TargetDied(send.target.id, 1))
+                died.filterIsInstance<FlowEffect.ShareDeath>().single().notice.fingerprint shouldBe "f1"
+                if (death < 2) send = effects.sends().single()
+            }
+            val again = host.handle(
+                FlowEvent.Arrived(ForwardRequest(2, "id2", route, "model", 1, 0, 9_000, fingerprint = "f1")),
+            )
+            again.rejects().single().reason shouldBe RejectReason.QUARANTINED
+            again.sends().shouldBeEmpty()
+        }
+
         test("whatever happens: one true final answer, no unsafe repeat, no result kept") {
             checkAll(histories(seed = 31), Arb.long()) { seed -> FlowHistory(Random(seed)).run() }
         }
