--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -2,8 +2,7 @@
  * The queue of one stage pool. One host owns it, the others send it their pieces, so that calls are filled from all
  * hosts. A call is closed when a target of the pool is free, not before. Of the jobs that wait, as many as the pool can
  * finish in time go first, by the time at which they have to be done; where it cannot finish all, the lowest ranks are
- * left out. What is left out fills free places, and calls of its own when the pool has targets to spare. A state machine
- * without I/O.
+ * left out. These fill free places, and calls of their own when the pool has targets to spare. No I/O happens here.
  */
 package org.sesamerouter.batching
 
@@ -337,26 +336,51 @@
     }
 
     private fun nextItems(target: Target, order: List<Job>, now: Long): List<Item> {
-        val picked = ArrayList<Item>()
-        var room = (spec.roomBytes * ROOM_SHARE).toLong() - target.usedBytes
-        if (target.fullUntilMs > now) room = minOf(room, LARGE_RESULT_BYTES)
-        var lacksRoom = false
+        val call = CallFill(roomAt(target, now))
         for (job in order) {
-            val places = spec.maxPieces - picked.size
-            if (places == 0) break
-            if (mayWaitForNear(job, target, now)) continue
+            if (call.places == 0) break
+            if (!mayWaitForNear(job, target, now)) call.add(job)
+        }
+        if (call.lacksRoom) release(results.filterValues { it.target === target && it.isRead }.keys.toList())
+        return if (mayWaitForRoom(call, target, order, now)) emptyList() else call.items
+    }
+
+    private fun roomAt(target: Target, now: Long): Long {
+        val room = (spec.roomBytes * ROOM_SHARE).toLong() - target.usedBytes
+        return if (target.fullUntilMs > now) minOf(room, LARGE_RESULT_BYTES) else room
+    }
+
+    /** A call that lack of room keeps small is better started once results in the way are freed. */
+    private fun mayWaitForRoom(call: CallFill, target: Target, order: List<Job>, now: Long): Boolean {
+        if (!call.lacksRoom || target.usedBytes == 0L) return false
+        val isSmall = call.items.size * SMALL_CALL_SHARE < minOf(waiting, spec.maxPieces)
+        val isPatient = order.firstOrNull()?.let { now - it.addedMs < ROOM_PATIENCE_MS } ?: true
+        return isSmall && isPatient
+    }
+
+    /** A call as it is filled, for a target with [room] bytes for results. */
+    private inner class CallFill(private var room: Long) {
+        val items = ArrayList<Item>()
+        val places: Int get() = spec.maxPieces - items.size
+        var lacksRoom = false
+            private set
+
+        fun add(job: Job) {
             val fitting = if (job.spec.resultBytes == 0L) Int.MAX_VALUE else (room / job.spec.resultBytes).toInt()
             val count = minOf(places, fitting, job.waiting.size)
             if (fitting < minOf(places, job.waiting.size)) lacksRoom = true
             val isSplit = count < job.waiting.size
-            if (count <= 0 || (isSplit && !mayBeSplit(job, places, fitting))) continue
-            picked += job.waiting.take(count)
+            if (count <= 0 || (isSplit && !mayBeSplit(job, fitting))) return
+            items += job.waiting.take(count)
             room -= count * job.spec.resultBytes
         }
-        if (lacksRoom) release(results.filterValues { it.target === target && it.isRead }.keys.toList())
-        val isSmall = picked.size * SMALL_CALL_SHARE < minOf(waiting, spec.maxPieces)
-        val isPatient = order.firstOrNull()?.let { now - it.addedMs < ROOM_PATIENCE_MS } ?: true
-        return if (lacksRoom && isSmall && isPatient && target.usedBytes > 0) emptyList() else picked
+
+        /** Half a job holds room that others need, so a job is not split for lack of room. */
+        private fun mayBeSplit(job: Job, fitting: Int): Boolean {
+            val isTooLarge = job.spec.pieces.size > spec.maxPieces ||
+                job.spec.pieces.size * job.spec.resultBytes > spec.roomBytes * ROOM_SHARE
+            return job.isBegun || isTooLarge || fitting >= places
+        }
     }
 
     /** Whether [job] has the time to wait for a target beside the consumer of its large results. */
@@ -369,11 +393,6 @@
         return isSoon && freeMs + spec.expectedMs(spec.maxPieces) + NEAR_SLACK_MS <= job.aimMs
     }
 
-    private fun mayBeSplit(job: Job, places: Int, fitting: Int): Boolean = job.isBegun ||
-        job.spec.pieces.size > spec.maxPieces ||
-        job.spec.pieces.size * job.spec.resultBytes > spec.roomBytes ||
-        fitting >= places
-
     /** Late jobs alone start a call only when a job that is in time would still find a free target. */
     private fun mayStartLate(late: List<Job>, now: Long): Boolean {
         val free = usableTargets(now).count { it.calls < spec.slots }
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -49,7 +49,7 @@
 private const val PROBE_INTERVAL_MS = 400L // a dead host is out of the address answers within a few of these
 private const val QUARANTINE_MS = 60_000L // a request that crashes targets comes again within seconds
 private const val QUARANTINE_CAPACITY = 4_096
-private const val DEATHS_TO_QUARANTINE = 3 // two deaths beside a request happen by chance when a quarter of a service crashes
+private const val DEATHS_TO_QUARANTINE = 3 // two happen by chance when a quarter of a service crashes
 private const val SLACK_SHARE = 0.6 // of the shared retry slack; the rest covers restarts and changes of membership
 private const val STOP_LEAST_MS = 2_500L // callers have asked for addresses again by then
 private const val STOP_MARGIN_MS = 600L // before the process would be killed
@@ -60,11 +60,14 @@
 private const val UNAVAILABLE = 503
 
 /** A running host. */
-class FrontHost internal constructor(private val settings: FrontSettings, private val metricsPort: Int?) :
+class FrontHost internal constructor(first: FrontSettings, private val metricsPort: Int?) :
     ExchangeContext,
     StageSurroundings,
     StoreListener {
     private val logger = LoggerFactory.getLogger(FrontHost::class.java)
+
+    @Volatile
+    private var settings = first
     internal val clock: Clock = systemClock()
     internal val log = DecisionLog(settings.name, clock)
     internal val loop = ControlLoop(settings.name)
@@ -161,6 +164,27 @@
         metrics.gauge("peers.frames.bad") { link.counts().badFrames }
     }
 
+    /**
+     * Takes over changed settings. Addresses, names and the store hold for the life of a process; the rest is in force
+     * at once.
+     */
+    fun reload(changed: FrontSettings) = loop.post {
+        if (changed == settings) return@post
+        val kept = settings
+        settings = changed.copy(
+            name = kept.name,
+            ip = kept.ip,
+            dataCentre = kept.dataCentre,
+            requestAddress = kept.requestAddress,
+            readyAddress = kept.readyAddress,
+            addressAddress = kept.addressAddress,
+            linkAddress = kept.linkAddress,
+            storeAddress = kept.storeAddress,
+        )
+        if (settings.seedAddresses != kept.seedAddresses) membership.setSeeds(settings.seedAddresses)
+        log.write("reload", "changed" to (settings != kept), "needs-restart" to (settings != changed))
+    }
+
     /** Ends after a planned stop: what runs is answered, as far as the time allows. */
     fun stop() {
         val began = clock.nowMs()
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -85,7 +85,16 @@
 }
 
 /** Why a request was not served. */
-enum class RejectReason { NO_TARGET, DEADLINE, STAGE_FAILED, TARGETS_REFUSED, QUARANTINED, OUTCOME_UNKNOWN, OVERLOAD, STOPPING }
+enum class RejectReason {
+    NO_TARGET,
+    DEADLINE,
+    STAGE_FAILED,
+    TARGETS_REFUSED,
+    QUARANTINED,
+    OUTCOME_UNKNOWN,
+    OVERLOAD,
+    STOPPING,
+}
 
 /** What is to be done. */
 sealed interface FlowEffect {
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -11,7 +11,6 @@
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.engine.EngineTable
 import org.sesamerouter.engine.Prompt
-import org.sesamerouter.engine.READ_TOKENS_PER_MS
 import org.sesamerouter.pipeline.Budget
 import org.sesamerouter.quarantine.CrashWatch
 import org.sesamerouter.quarantine.Quarantine
@@ -21,18 +20,13 @@
 
 private const val MAX_SENDS = 5
 private const val MAX_STAGE_RUNS = 2
-private const val FIRST_EVENT_MS = 100L // an engine's time to the first event beside the reading of the prompt
 private const val RETRY_AFTER_MS = 400L
-private const val LONGEST_RETRY_MS = 4_000L // bursts of callers last some seconds
 private const val LANE_WAIT_PART = 8 // of the objective; after that the caller is told when to come back
-private const val PERCENT = 100
-private const val PROTECTED_PERCENT = 40
 private const val MAX_IN_LANE = 24 // what the pools catch up with within a caller's deadline after a burst
 private const val MAX_FROM_LANE = 2 // of one host at a time, so that all hosts together do not flood the pools
-private const val SPARE_FACTOR = 1.2 // pools are calm when the way through takes hardly longer than without queues
 private const val LARGE_BYTES = 200_000L // fewer cost little on the way to another data centre
-private const val EARLY_MARGIN_MS = 200L // a call that takes longer than expected still ends with the others
 private const val FETCH_MS = 120L // an engine without a queue fetches inputs within some ms
+private const val RESUME_AIM_MS = 800L // callers give up a stream that stands still for some seconds
 private const val LEAST_SEND_MS = 20L // a send with less time left only wastes the target's work
 private const val FIRST_FAULT_STATUS = 500
 private const val NOT_RUN_STATUS = 503
@@ -40,27 +34,6 @@
 private const val TIMEOUT_STATUS = 504
 private const val INPUTS_GONE_STATUS = 409
 
-/** What the flows read of the rest of this host's state. */
-interface FlowSurroundings {
-    /** The configuration in force. */
-    val config: ServingConfig?
-
-    /** Returns the targets of [service] that may get new work. */
-    fun targets(service: String): List<TargetEntry>
-
-    /** Returns the data centre of the target that listens at [address]. */
-    fun dataCentreOf(address: String): String?
-
-    /** Most connections of this host to one target of [service]. */
-    fun connectionShare(service: String): Int
-
-    /** Expected time of a stage in the pool [service] for a request of [rank], with its queue. */
-    fun stageMs(service: String, rank: Int): Double
-
-    /** Expected time of a stage in the pool [service] without a queue. */
-    fun idleStageMs(service: String): Double
-}
-
 /** The requests of one host. Not thread-safe. */
 class RequestFlows(
     private val surroundings: FlowSurroundings,
@@ -70,35 +43,11 @@
     private val dataCentre: String,
     private val newBudget: () -> Budget,
 ) {
-    private class Flow(val request: ForwardRequest) {
-        /** Rank in the pools; some of each kind count as the most urgent, so that no kind starves in an overload. */
-        val rank = if (Math.floorMod(request.id.hashCode(), PERCENT) < PROTECTED_PERCENT) 0 else request.rank
-
-        val handles = arrayOfNulls<List<String>>(request.route.stages.size)
-        val jobs = HashMap<String, Int>()
-        val startedStages = HashSet<Int>()
-        val tried = HashSet<String>()
-        var stageRuns = 0
-        var sends = 0
-        var runs = 0
-        var send: Sent? = null
-        var mayHaveRun = false
-        var hasHeldAnswer = false
-
-        /** Whether the caller has a part of the answer. */
-        var isBegun = false
-        var lastEventId = request.lastEventId
-    }
-
-    private class Sent(val id: SendId, val target: TargetEntry, val unread: Long, val sentMs: Long) {
-        var isRead = false
-        var areInputsTold = false
-    }
-
     private val flows = LinkedHashMap<Long, Flow>()
     private val flowOfJob = HashMap<String, Flow>()
     private val budgets = HashMap<String, Budget>()
     private val effects = ArrayList<FlowEffect>()
+    private val times = ChainTimes(surroundings)
     private val crashes = CrashWatch()
     private val lane = LateLane(MAX_IN_LANE)
     private val startedFromLane = HashSet<Long>()
@@ -134,7 +83,7 @@
         budgetOf(request.service).earn()
         if (quarantine.standing(request.fingerprint, now) == Standing.QUARANTINED) {
             reject(flow, RejectReason.QUARANTINED, quarantine.remainingMs(request.fingerprint, now))
-        } else if (isTimely(flow, now)) {
+        } else if (times.isTimely(flow, now)) {
             startStages(flow, now)
         } else {
             waitBeside(flow, now)
@@ -145,105 +94,59 @@
     private fun waitBeside(flow: Flow, now: Long) {
         val request = flow.request
         val longestMs = request.route.aimMs / LANE_WAIT_PART
-        if (backlogMs(flow) > longestMs * 2) {
-            reject(flow, RejectReason.OVERLOAD, retryAfterMs(flow))
+        if (times.backlogMs(flow) > longestMs * 2) {
+            reject(flow, RejectReason.OVERLOAD, times.retryAfterMs(flow))
             return
         }
-        val latest = minOf(now + longestMs, request.deadlineMs - bestMs(flow))
+        val latest = minOf(now + longestMs, request.deadlineMs - times.bestMs(flow))
         lane.add(LaneEntry(request.flow, flow.rank, latest, now))
         lane.overflow(now).forEach(::rejectFromLane)
     }
 
     private fun rejectFromLane(id: Long) {
-        flows[id]?.let { reject(it, RejectReason.OVERLOAD, retryAfterMs(it)) }
-    }
-
-    /** Time until the pools on the way have done what waits there now. */
-    private fun backlogMs(flow: Flow): Long = maxOf(
-        0,
-        chainMs(flow) { surroundings.stageMs(it, flow.rank) } - bestMs(flow),
-    )
-
-    private fun retryAfterMs(flow: Flow): Long = (backlogMs(flow) + RETRY_AFTER_MS).coerceAtMost(LONGEST_RETRY_MS)
-
-    /** Whether the request would meet its objective if its stages began now. */
-    private fun isTimely(flow: Flow, now: Long): Boolean {
-        val expected = chainMs(flow) { surroundings.stageMs(it, flow.rank) }
-        return now + expected <= flow.request.arrivedMs + flow.request.route.aimMs
-    }
-
-    /** Time that the request takes through pools without queues. */
-    private fun bestMs(flow: Flow): Long = chainMs(flow) { surroundings.idleStageMs(it) }
-
-    private fun chainMs(flow: Flow, stageMs: (String) -> Double): Long {
-        val stages = flow.request.route.stages
-        val firsts = stages.indices.filter { n ->
-            piecesOf(flow, n) > 0 && stages[n].after.none { piecesOf(flow, it) > 0 }
-        }
-        return firsts.maxOfOrNull { (stageMs(stages[it].service) + restMs(flow, it, stageMs)).toLong() } ?: 0
+        flows[id]?.let { reject(it, RejectReason.OVERLOAD, times.retryAfterMs(it)) }
     }
 
     /** Starts a request that waits beside the pools, once they have room to spare. */
     private fun startFromLane(now: Long) {
         if (lane.isEmpty || startedFromLane.size >= MAX_FROM_LANE) return
-        val next = lane.firstThat { id -> flows[id]?.let { isSpare(it) } ?: true } ?: return
+        val next = lane.firstThat { id -> flows[id]?.let { times.isSpare(it) } ?: true } ?: return
         lane.remove(next)
         val flow = flows[next] ?: return
         startedFromLane += next
         startStages(flow, now)
     }
 
-    private fun isSpare(flow: Flow): Boolean =
-        chainMs(flow) { surroundings.stageMs(it, flow.rank) } <= bestMs(flow) * SPARE_FACTOR
-
     private fun startStages(flow: Flow, now: Long) {
         val stages = flow.request.route.stages
         for (number in stages.indices) {
-            if (number in flow.startedStages || piecesOf(flow, number) == 0) continue
-            if (stages[number].after.any { piecesOf(flow, it) > 0 && flow.handles[it] == null }) continue
-            if (isTooEarly(flow, number)) continue
+            if (number in flow.startedStages || flow.piecesOf(number) == 0) continue
+            if (stages[number].after.any { flow.piecesOf(it) > 0 && flow.handles[it] == null }) continue
+            if (times.isTooEarly(flow, number)) continue
             flow.startedStages += number
             startStage(flow, number, now)
         }
-        val left = stages.indices.any { piecesOf(flow, it) > 0 && flow.handles[it] == null }
+        val left = stages.indices.any { flow.piecesOf(it) > 0 && flow.handles[it] == null }
         if (!left) send(flow, now)
     }
 
-    /** A stage that only the target waits for begins so that it ends with the others: its results take room. */
-    private fun isTooEarly(flow: Flow, number: Int): Boolean {
-        val stages = flow.request.route.stages
-        if (nextStages(flow, number).isNotEmpty()) return false
-        val others = stages.indices.filter { it != number && piecesOf(flow, it) > 0 && flow.handles[it] == null }
-        val left = others.maxOfOrNull { leftMs(flow, it) } ?: return false
-        val own = leftMs(flow, number)
-        return left > own + EARLY_MARGIN_MS
-    }
-
-    /** Expected time from the begin of [stage] to the first event. */
-    private fun leftMs(flow: Flow, stage: Int): Long {
-        val stageMs = { service: String -> surroundings.stageMs(service, flow.rank) }
-        return stageMs(flow.request.route.stages[stage].service).toLong() + restMs(flow, stage, stageMs)
-    }
-
-    private fun piecesOf(flow: Flow, stage: Int): Int = flow.request.pieces.getOrElse(stage) { 0 }
-
     private fun startStage(flow: Flow, number: Int, now: Long) {
         val request = flow.request
         val stage = request.route.stages[number]
         val inputs = stage.after.flatMap { flow.handles[it].orEmpty() }
         val key = if (inputs.isEmpty()) request.pieceKey else null
-        val rest = restMs(flow, number) { surroundings.stageMs(it, flow.rank) }
+        val rest = times.restMs(flow, number)
         val job = StageJob(
             job = "${request.id}/$number/${jobSequence++}",
             request = request.id,
             service = stage.service,
             stage = number,
-            pieces = List(piecesOf(flow, number)) { Piece(it, key, inputs) },
+            pieces = List(flow.piecesOf(number)) { Piece(it, key, inputs) },
             resultBytes = stage.resultBytes,
             rank = flow.rank,
-            aimLeftMs = request.arrivedMs + request.route.aimMs - rest - now,
+            aimLeftMs = if (flow.isBegun) RESUME_AIM_MS else request.arrivedMs + request.route.aimMs - rest - now,
             deadlineLeftMs = request.deadlineMs - rest / 2 - now,
-            stagesLeft = stagesAfter(flow, number),
+            stagesLeft = flow.stagesAfter(number),
             dataCentre = nearestDataCentre(flow, number, inputs, now),
         )
         flow.jobs[job.job] = number
@@ -254,8 +157,8 @@
     /** Returns where most bytes of [stage] come from or go to, if they are many; null when it hardly matters. */
     private fun nearestDataCentre(flow: Flow, stage: Int, inputs: List<String>, now: Long): String? {
         val read = bytesByDataCentre(flow).filterKeys { it in inputs.mapNotNull(::placeOf) }
-        val readBytes = read.values.sum() * piecesOf(flow, stage)
-        val madeBytes = flow.request.route.stages[stage].resultBytes * piecesOf(flow, stage)
+        val readBytes = read.values.sum() * flow.piecesOf(stage)
+        val madeBytes = flow.request.route.stages[stage].resultBytes * flow.piecesOf(stage)
         return when {
             maxOf(readBytes, madeBytes) < LARGE_BYTES -> null
             readBytes >= madeBytes -> read.maxBy { it.value }.key
@@ -267,7 +170,7 @@
     private fun readerOf(flow: Flow, stage: Int, now: Long): String? {
         val request = flow.request
         val isEngine = surroundings.config?.services?.get(request.service)?.engine != null
-        if (!isEngine || nextStages(flow, stage).isNotEmpty()) return null
+        if (!isEngine || flow.nextStages(stage).isNotEmpty()) return null
         return engines.choose(surroundings.targets(request.service), promptOf(flow), now)?.dataCentre
     }
 
@@ -284,23 +187,6 @@
         return bytes
     }
 
-    private fun nextStages(flow: Flow, stage: Int): List<Int> {
-        val stages = flow.request.route.stages
-        return stages.indices.filter { stage in stages[it].after && piecesOf(flow, it) > 0 }
-    }
-
-    private fun stagesAfter(flow: Flow, stage: Int): Int =
-        nextStages(flow, stage).maxOfOrNull { 1 + stagesAfter(flow, it) } ?: 0
-
-    /** Expected time from the end of [stage] to the first event. */
-    private fun restMs(flow: Flow, stage: Int, stageMs: (String) -> Double): Long {
-        val stages = flow.request.route.stages
-        val longest = nextStages(flow, stage).maxOfOrNull {
-            stageMs(stages[it].service).toLong() + restMs(flow, it, stageMs)
-        }
-        return longest ?: (FIRST_EVENT_MS + flow.request.parts.sumOf { it.tokens } / READ_TOKENS_PER_MS).toLong()
-    }
-
     private fun onStageEnded(event: FlowEvent.StageEnded, now: Long) {
         val flow = flowOfJob.remove(event.job) ?: return
         val number = flow.jobs.remove(event.job) ?: return
@@ -336,7 +222,7 @@
         val stages = flow.request.route.stages
         for (number in stages.indices) {
             val handles = flow.handles[number] ?: continue
-            val consumers = nextStages(flow, number)
+            val consumers = flow.nextStages(number)
             if (handles.isEmpty() || consumers.isEmpty() || consumers.any { flow.handles[it] == null }) continue
             effects += FlowEffect.FreeResults(stages[number].service, handles)
             flow.handles[number] = emptyList()
@@ -572,7 +458,7 @@
                 end(flow, "rejected: $reason")
             }
 
-            else -> reject(flow, reason, retryAfterMs(flow))
+            else -> reject(flow, reason, times.retryAfterMs(flow))
         }
     }
 
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -82,7 +82,8 @@
     fun arrive(route: Route, pieces: List<Int> = emptyList(), flow: Long = 1, deadlineMs: Long = 10_000) = handle(
         FlowEvent.Arrived(
             ForwardRequest(
-                flow, "id$flow", route, "model", route.rank, now, now + deadlineMs, pieces, "key", fingerprint = "f$flow",
+                flow, "id$flow", route, "model", route.rank, now, now + deadlineMs, pieces, "key",
+                fingerprint = "f$flow",
             ),
         ),
     )
@@ -164,6 +165,17 @@
             again.single().target.id shouldNotBe send.target.id
         }
 
+        test("a stream that is resumed long after its objective still has its stages done at once") {
+            val host = Host()
+            val route = route(RouteKind.STREAM, resumable = true, stages = STAGES)
+            val job = host.arrive(route, listOf(1, 0, 0)).jobs().single()
+            val send = host.handle(FlowEvent.StageEnded(job.job, JobOutcome(listOf("x:1/a")))).sends().single()
+            host.handle(FlowEvent.AnswerBegan(send.send, null))
+            host.now = 5_000
+            val again = host.handle(FlowEvent.SendFailed(send.send, SendFailure.Broken(true, "7", "reset"))).jobs()
+            (again.single().aimLeftMs > 0) shouldBe true
+        }
+
         test("a stream that may not be resumed is cut when it breaks off, never ended as if it were whole") {
             val host = Host()
             val send = host.arrive(route(RouteKind.STREAM)).sends().single()
@@ -239,7 +251,7 @@
         }
 
         test(
-            "a request that crashes its targets is refused after the third, and an answer that was only lost is no crash",
+            "a request that crashes its targets is refused after the third, an answer only lost is no crash",
         ) {
             val host = Host()
             val route = route(RouteKind.SAFE, attempts = 5)
--- a/src/test/kotlin/web/ForwardSpec.kt
+++ b/src/test/kotlin/web/ForwardSpec.kt
@@ -187,8 +187,10 @@
 
         test("a request smuggled behind two lengths is rejected and never run") {
             val smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
-            val both = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n$smuggled"
-            val twice = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: ${smuggled.length}\r\n\r\n$smuggled"
+            val both = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n" +
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n$smuggled"
+            val twice = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n" +
+                "Content-Length: ${smuggled.length}\r\n\r\n$smuggled"
             val coding = "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n$smuggled"
             for (text in listOf(both, twice, coding)) {
                 val reply = talk(text)
