--- a/src/main/kotlin/engine/EngineTable.kt
+++ b/src/main/kotlin/engine/EngineTable.kt
@@ -27,7 +27,7 @@
 data class EngineNews(val target: String, val unreadTokens: Long, val streams: Int, val parts: List<PromptPart>)
 
 /** A prompt that needs an engine; [inputs] are the bytes that it takes from each data centre. */
-data class Prompt(val parts: List<PromptPart>, val outputTokens: Int, val inputs: Map<String, Long>) {
+data class Prompt(val parts: List<PromptPart>, val inputs: Map<String, Long>) {
     val tokens: Int = parts.sumOf { it.tokens }
 }
 
--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -39,6 +39,7 @@
     val client: ForwardClient,
     val context: ExchangeContext,
     val clock: Clock,
+    val metrics: FrontMetrics,
     val forget: () -> Unit,
 )
 
@@ -120,6 +121,8 @@
 
     private fun post(event: FlowEvent) = links.context.post(event)
 
+    private fun sinceArrivalMs() = (links.clock.nowMs() - request.arrivedMs).toDouble()
+
     private inner class Sending(val id: SendId) : AnswerListener {
         var call: ForwardCall? = null
         var lastBytesMs = links.clock.nowMs()
@@ -143,6 +146,7 @@
                 return
             }
             isBegun = true
+            links.metrics.firstByteMs.record(sinceArrivalMs())
             val isEvents = headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(EVENT_STREAM)
             if (isStream && isEvents) splitter = EventSplitter()
             if (!incoming.isBegun) incoming.begin(status, encodeAnswerHeaders(headers))
@@ -171,6 +175,7 @@
                     splitter?.takeRest()?.let { if (it.isReadable) incoming.write(it) else it.release() }
                     incoming.end()
                     links.forget()
+                    links.metrics.answerMs.record(sinceArrivalMs())
                     post(FlowEvent.AnswerEnded(id, status))
                 }
 
--- a/src/main/kotlin/front/CallerExchanges.kt
+++ b/src/main/kotlin/front/CallerExchanges.kt
@@ -80,7 +80,7 @@
                     request,
                     incoming,
                     organisation?.name,
-                    ExchangeLinks(client, context, clock) { exchanges.remove(request.flow) },
+                    ExchangeLinks(client, context, clock, metrics) { exchanges.remove(request.flow) },
                 )
                 exchanges[request.flow] = exchange
                 incoming.onClosed = {
@@ -143,7 +143,6 @@
             pieces = if (route.stages.isEmpty()) emptyList() else headers.pieces,
             pieceKey = headers.pieceKey,
             parts = headers.parts,
-            outputTokens = headers.outputTokens,
             fingerprint = "${incoming.method} ${incoming.uri} $organisation ${content.toULong()}",
             lastEventId = headers.lastEventId,
         )
--- a/src/main/kotlin/platform/PlatformSettings.kt
+++ b/src/main/kotlin/platform/PlatformSettings.kt
@@ -18,7 +18,6 @@
  * @property name the host's name.
  * @property linkAddress where the other hosts reach it; the port is the first that is free for the system.
  * @property seedAddresses link addresses of some hosts, which may be stale.
- * @property drainMs a target that leaves gets nothing new after this.
  * @property graceMs time from SIGTERM to SIGKILL.
  * @property retryShare and [retrySlack] and [retryWindowMs] bound the repeats of all hosts together.
  */
@@ -32,7 +31,6 @@
     val linkAddress: String,
     val seedAddresses: List<String>,
     val storeAddress: String,
-    val drainMs: Long,
     val graceMs: Long,
     val addressLifeMs: Long,
     val retryShare: Double,
@@ -42,7 +40,6 @@
 /** A settings file that cannot be used; the message names the remedy. */
 data class SettingsFault(val message: String)
 
-private const val DEFAULT_DRAIN_MS = 2_000L
 private const val DEFAULT_GRACE_S = 8.0
 private const val DEFAULT_ADDRESS_LIFE_S = 5L
 private const val LONGEST_ADDRESS_LIFE_MS = 2_000L // callers follow a change of hosts within this
@@ -86,7 +83,6 @@
             seedAddresses = value("seeds").orEmpty().split(',').filter { ':' in it }
                 .map { "${it.substringBefore(':').trim()}:$port" },
             storeAddress = need("platform.address"),
-            drainMs = value("bounds.drain-ms")?.toLongOrNull() ?: DEFAULT_DRAIN_MS,
             graceMs = ((value("bounds.grace-s")?.toDoubleOrNull() ?: DEFAULT_GRACE_S) * MS_PER_S).toLong(),
             addressLifeMs = minOf(lifeS * MS_PER_S, LONGEST_ADDRESS_LIFE_MS),
             retryShare = value("bounds.retry-ratio")?.toDoubleOrNull() ?: DEFAULT_RETRY_RATIO,
--- a/src/main/kotlin/platform/RequestHeaders.kt
+++ b/src/main/kotlin/platform/RequestHeaders.kt
@@ -18,7 +18,6 @@
 private const val LOAD = "Server-Load"
 private const val NOT_RUN = "Not-Run"
 private const val RETRY_AFTER = "Retry-After"
-private const val TOKENS = "Token-Counts"
 private const val PARTS = "Prefix-Hash"
 private const val PIECES = "Pieces"
 private const val PIECE_KEY = "Piece-Key"
@@ -56,27 +55,20 @@
     val pieces: List<Int>,
     val pieceKey: String?,
     val parts: List<PromptPart>,
-    val promptTokens: Int,
-    val outputTokens: Int,
 )
 
 /** Decodes the headers of a caller's request. */
-fun decodeCallerHeaders(headers: HttpHeaders): CallerHeaders {
-    val tokens = headers.get(TOKENS)?.split(',')?.map { it.trim().toIntOrNull() ?: 0 }.orEmpty()
-    return CallerHeaders(
-        id = headers.get(REQUEST_ID),
-        authority = headers.get(HttpHeaderNames.HOST).orEmpty().substringBefore(':'),
-        key = headers.get(HttpHeaderNames.AUTHORIZATION)?.takeIf { it.startsWith(KEY_SCHEME, ignoreCase = true) }
-            ?.substring(KEY_SCHEME.length)?.trim(),
-        deadlineMs = headers.get(DEADLINE)?.trim()?.toLongOrNull(),
-        lastEventId = headers.get(LAST_EVENT_ID),
-        pieces = headers.get(PIECES)?.split(',')?.map { it.trim().toIntOrNull() ?: 0 }.orEmpty(),
-        pieceKey = headers.get(PIECE_KEY),
-        parts = headers.get(PARTS)?.split(',')?.mapNotNull(::decodePart).orEmpty(),
-        promptTokens = tokens.getOrElse(0) { 0 },
-        outputTokens = tokens.getOrElse(1) { 0 },
-    )
-}
+fun decodeCallerHeaders(headers: HttpHeaders): CallerHeaders = CallerHeaders(
+    id = headers.get(REQUEST_ID),
+    authority = headers.get(HttpHeaderNames.HOST).orEmpty().substringBefore(':'),
+    key = headers.get(HttpHeaderNames.AUTHORIZATION)?.takeIf { it.startsWith(KEY_SCHEME, ignoreCase = true) }
+        ?.substring(KEY_SCHEME.length)?.trim(),
+    deadlineMs = headers.get(DEADLINE)?.trim()?.toLongOrNull(),
+    lastEventId = headers.get(LAST_EVENT_ID),
+    pieces = headers.get(PIECES)?.split(',')?.map { it.trim().toIntOrNull() ?: 0 }.orEmpty(),
+    pieceKey = headers.get(PIECE_KEY),
+    parts = headers.get(PARTS)?.split(',')?.mapNotNull(::decodePart).orEmpty(),
+)
 
 private fun decodePart(text: String): PromptPart? {
     val tokens = text.substringAfter(':', "").trim().toIntOrNull() ?: return null
@@ -125,14 +117,13 @@
  * @property isNotRun whether the target says that it did not run the request.
  * @property isProved whether the answer bears the target's proof, without which it is no answer of a service.
  */
-data class AnswerHead(val isNotRun: Boolean, val load: ToldLoad?, val isProved: Boolean, val contentLength: Long?)
+data class AnswerHead(val isNotRun: Boolean, val load: ToldLoad?, val isProved: Boolean)
 
 /** Decodes the head of an answer. */
 fun decodeAnswerHead(headers: HttpHeaders) = AnswerHead(
     isNotRun = headers.contains(NOT_RUN),
     load = headers.get(LOAD)?.let(::decodeLoad),
     isProved = headers.contains(PROOF),
-    contentLength = headers.get(HttpHeaderNames.CONTENT_LENGTH)?.toLongOrNull(),
 )
 
 private fun decodeLoad(text: String): ToldLoad? {
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -31,7 +31,6 @@
     val pieces: List<Int> = emptyList(),
     val pieceKey: String? = null,
     val parts: List<PromptPart> = emptyList(),
-    val outputTokens: Int = 0,
     val fingerprint: String = "",
     val lastEventId: String? = null,
 )
--- a/src/main/kotlin/serving/LateLane.kt
+++ b/src/main/kotlin/serving/LateLane.kt
@@ -13,8 +13,6 @@
 
     val isEmpty: Boolean get() = entries.isEmpty()
 
-    val size: Int get() = entries.size
-
     /** Returns the waiting requests. */
     fun all(): List<Long> = entries.keys.toList()
 
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -16,7 +16,6 @@
 import org.sesamerouter.quarantine.Quarantine
 import org.sesamerouter.quarantine.Standing
 import org.sesamerouter.routing.PlainTargets
-import org.sesamerouter.routing.ToldLoad
 
 private const val MAX_SENDS = 5
 private const val MAX_STAGE_RUNS = 2
@@ -267,7 +266,7 @@
     private fun cacheTokens(service: String) =
         surroundings.config?.services?.get(service)?.engine?.cacheTokens ?: Long.MAX_VALUE
 
-    private fun promptOf(flow: Flow) = Prompt(flow.request.parts, flow.request.outputTokens, bytesByDataCentre(flow))
+    private fun promptOf(flow: Flow) = Prompt(flow.request.parts, bytesByDataCentre(flow))
 
     /** Results of the stages that no other stage follows. */
     private fun finalHandles(flow: Flow): List<String> = flow.handles.filterNotNull().flatten()
@@ -517,7 +516,4 @@
         flow.handles.fill(null)
         flow.startedStages.clear()
     }
-
-    /** Takes in the load that a target told beside the answer to a request. */
-    fun onLoad(target: TargetEntry, load: ToldLoad, now: Long) = plain.onLoad(target, load, now)
 }
--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -118,11 +118,6 @@
         return call
     }
 
-    /** Closes the idle connections to [address]. */
-    fun closeIdle(address: String) {
-        pools[address]?.idle?.toList()?.forEach { it.channel.close() }
-    }
-
     private fun open(address: String, request: OutgoingRequest, listener: AnswerListener, call: ForwardCall) {
         val pool = poolOf(address)
         pool.open++
--- a/src/main/kotlin/web/RequestConnection.kt
+++ b/src/main/kotlin/web/RequestConnection.kt
@@ -55,8 +55,6 @@
     private var lastBytesMs = server.clock.nowMs()
     private var requestBeganMs = -1L
 
-    val isIdle: Boolean get() = current == null && requestBeganMs < 0
-
     fun onBytes() {
         lastBytesMs = server.clock.nowMs()
         if (requestBeganMs < 0) requestBeganMs = lastBytesMs
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -178,9 +178,6 @@
         connections -= connection
     }
 
-    /** Closes connections without a request in progress. */
-    fun closeIdle() = group.execute { connections.filter { it.isIdle }.forEach { it.channel.close() } }
-
     /** Stops listening and closes what is left once it was written. */
     fun close() {
         listening.close()
