End a call to a silent stage target after some times its expected time

Change: 2.5 times the expected time, by the target's own speed, and 0.4 s; the pieces then go to another target.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -15,6 +15,8 @@
 private const val SLOW_FACTOR = 1.8 // a target this much slower than its peers is used only when they are full
 private const val OVERDUE_FACTOR = 2.5 // a call this much over its expected time makes its target slow
 private const val SPEED_WEIGHT = 0.4
+private const val CALL_PATIENCE_FACTOR = 2.5 // a target that takes longer is silent, or as good as that
+private const val CALL_PATIENCE_MS = 400.0
 private const val LATE_PATIENCE_MS = 250L // most late jobs find a free place in a call before that
 private const val FULL_ROOM_MS = 400L // results are read by their consumer within about this
 private const val LARGE_RESULT_BYTES = 100_000L
@@ -448,6 +450,8 @@
         val expected = spec.expectedMs(items.size)
         running[call] = Running(target, items, now, expected)
         val wire = items.map { CallItem(it.job.spec.request, it.job.spec.stage, it.piece, it.job.deadlineMs - now) }
-        effects += PoolEffect.Call(call, target.entry, wire, wire.maxOf { it.leftMs }, target.usedBytes)
+        val patienceMs = (expected * maxOf(1.0, target.slowness) * CALL_PATIENCE_FACTOR + CALL_PATIENCE_MS).toLong()
+        val timeoutMs = minOf(patienceMs, wire.maxOf { it.leftMs })
+        effects += PoolEffect.Call(call, target.entry, wire, timeoutMs, target.usedBytes)
     }
 }
--- a/src/test/kotlin/batching/PieceQueueSpec.kt
+++ b/src/test/kotlin/batching/PieceQueueSpec.kt
@@ -172,6 +172,14 @@
             queue.submit(job("d", 1), 2_510).calls().shouldBeEmpty()
         }
 
+        test("a call to a target that went silent ends long before its pieces' deadline, and they go elsewhere") {
+            val queue = queue("t1", "t2")
+            val call = queue.submit(job("a", 8, deadlineLeftMs = 12_000), 0).calls().single()
+            (call.timeoutMs < 2_000) shouldBe true
+            val again = queue.onCallEnded(call.call, CallOutcome.Failed("no reply"), call.timeoutMs).calls().single()
+            (again.target.id != call.target.id) shouldBe true
+        }
+
         test("jobs that were not begun are handed back at a planned stop, begun ones are finished") {
             val queue = queue("t1")
             val running = queue.submit(job("a", 2), 0).calls().single()
