Drop members that nothing uses

Cause: a read of the change: counts of calls and pieces, a query for the store's absence and FrontHost.kill have no caller.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -84,12 +84,6 @@
     /** Calls in progress. */
     val calls: Int get() = running.size
 
-    /** Calls and pieces since the start. */
-    var callCount = 0L
-        private set
-    var pieceCount = 0L
-        private set
-
     /** Returns for each rank how long a job of it takes that is added now. Jobs of lower ranks and late ones yield. */
     fun expectedMs(now: Long): RankedTimes {
         val (begun, fresh) = jobs.values.filter { it.waiting.isNotEmpty() }.partition { it.isBegun }
@@ -444,8 +438,6 @@
             it.job.lastStartMs = now
         }
         waiting -= items.size
-        callCount++
-        pieceCount += items.size
         val call = sequence++
         val expected = spec.expectedMs(items.size)
         running[call] = Running(target, items, now, expected)
--- a/src/main/kotlin/discovery/TargetDirectory.kt
+++ b/src/main/kotlin/discovery/TargetDirectory.kt
@@ -104,9 +104,6 @@
         return ended.isNotEmpty()
     }
 
-    /** Whether the store has not been read by any host in touch for some time. */
-    val isStoreAway: Boolean get() = awaySinceMs >= 0
-
     private fun noteStore(readMs: Long, now: Long) {
         if (readMs <= storeSeenMs) return
         if (awaySinceMs in 0..readMs) {
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -43,7 +43,6 @@
 import org.slf4j.LoggerFactory
 import java.util.Random
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.TimeUnit
 
 private const val TICK_MS = 25L
 private const val PROBE_INTERVAL_MS = 400L // a dead host is out of the address answers within a few of these
@@ -216,13 +215,6 @@
         Thread.sleep(STOP_POLL_MS)
     }
 
-    /** Ends at once, as a process does that is killed. */
-    fun kill() {
-        loop.close()
-        link.close()
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
-    }
-
     private fun <T> onLoop(task: () -> T): T {
         val future = CompletableFuture<T>()
         loop.post { future.complete(task()) }
