Let the rank of a route count within an organisation

Cause: every organisation of the sites has a rank, and where an organisation had one the route's was dropped. All kinds of request stood at one rank in the queues of the pools, so that in an overload a note displaced a route summary as often as the other way round.

Ruled out: a fault in the order by ranks within the queues; the decision log showed rank 1 for every kind of four organisations.

Change: organisations decide first, routes between equals; the index into that order is what queues, lanes and engines see. The log line of a request has its rank, that of a rejection the expected time of each stage.

--- a/src/main/kotlin/front/CallerExchanges.kt
+++ b/src/main/kotlin/front/CallerExchanges.kt
@@ -10,6 +10,7 @@
 import org.sesamerouter.platform.CallerHeaders
 import org.sesamerouter.platform.decodeCallerHeaders
 import org.sesamerouter.platform.encodeOwnAnswer
+import org.sesamerouter.serving.CallerOrganisation
 import org.sesamerouter.serving.FlowEffect
 import org.sesamerouter.serving.FlowEvent
 import org.sesamerouter.serving.ForwardRequest
@@ -75,7 +76,7 @@
                 refuse(incoming, headers, UNAVAILABLE, "route ${route.name} has no service", STARTING_RETRY_MS)
 
             else -> {
-                val request = requestOf(incoming, headers, route, organisation?.rank, now, organisation?.name)
+                val request = requestOf(incoming, headers, route, organisation, config, now)
                 val exchange = CallerExchange(
                     request,
                     incoming,
@@ -90,7 +91,8 @@
                 log.write(
                     "request", "request" to request.id, "flow" to request.flow, "route" to route.name,
                     "version" to config.version, "service" to request.service, "organisation" to organisation?.name,
-                    "pieces" to request.pieces.joinToString(","), "left-ms" to request.deadlineMs - now,
+                    "rank" to request.rank, "pieces" to request.pieces.joinToString(","),
+                    "left-ms" to request.deadlineMs - now,
                 )
                 context.post(FlowEvent.Arrived(request))
             }
@@ -125,9 +127,9 @@
         incoming: IncomingRequest,
         headers: CallerHeaders,
         route: Route,
-        organisationRank: Int?,
+        organisation: CallerOrganisation?,
+        config: ServingConfig,
         now: Long,
-        organisation: String?,
     ): ForwardRequest {
         val left = minOf(headers.deadlineMs ?: Long.MAX_VALUE, route.timeoutMs)
         val id = checkNotNull(headers.id)
@@ -137,13 +139,13 @@
             id = id,
             route = route,
             service = serviceOf(route, id),
-            rank = organisationRank ?: route.rank,
+            rank = config.rankOf(organisation, route),
             arrivedMs = now,
             deadlineMs = now + left,
             pieces = if (route.stages.isEmpty()) emptyList() else headers.pieces,
             pieceKey = headers.pieceKey,
             parts = headers.parts,
-            fingerprint = "${incoming.method} ${incoming.uri} $organisation ${content.toULong()}",
+            fingerprint = "${incoming.method} ${incoming.uri} ${organisation?.name} ${content.toULong()}",
             lastEventId = headers.lastEventId,
         )
     }
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -338,6 +338,7 @@
                 "status" to effect.status,
                 "reason" to effect.reason,
                 "retry-after-ms" to effect.retryAfterMs,
+                "stages-ms" to effect.stageMs.joinToString(","),
                 "targets-age-ms" to now - directory.freshMs,
             )
 
--- a/src/main/kotlin/serving/ChainTimes.kt
+++ b/src/main/kotlin/serving/ChainTimes.kt
@@ -27,6 +27,10 @@
         return now + expected <= flow.request.arrivedMs + flow.request.route.aimMs
     }
 
+    /** Expected time of each stage of the request. */
+    fun ofStages(flow: Flow): List<Long> =
+        flow.request.route.stages.map { surroundings.stageMs(it.service, flow.rank).toLong() }
+
     /** Time that the request takes through pools without queues. */
     fun bestMs(flow: Flow): Long = chainMs(flow) { surroundings.idleStageMs(it) }
 
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -119,8 +119,19 @@
 
     data class CancelSend(val send: SendId) : FlowEffect
 
-    /** Ends the request with an answer of this host; [retryAfterMs] goes with a promise that it did not run. */
-    data class Reject(val flow: Long, val status: Int, val retryAfterMs: Long?, val reason: RejectReason) : FlowEffect
+    /**
+     * Ends the request with an answer of this host.
+     *
+     * @property retryAfterMs goes with a promise that it did not run.
+     * @property stageMs time that each stage would have taken, as it was believed then.
+     */
+    data class Reject(
+        val flow: Long,
+        val status: Int,
+        val retryAfterMs: Long?,
+        val reason: RejectReason,
+        val stageMs: List<Long> = emptyList(),
+    ) : FlowEffect
 
     /** Ends the request with the failed answer of a target that was kept back. */
     data class DeliverFailure(val flow: Long) : FlowEffect
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -463,7 +463,7 @@
     }
 
     private fun reject(flow: Flow, reason: RejectReason, retryAfterMs: Long) {
-        effects += FlowEffect.Reject(flow.request.flow, NOT_RUN_STATUS, retryAfterMs, reason)
+        effects += FlowEffect.Reject(flow.request.flow, NOT_RUN_STATUS, retryAfterMs, reason, times.ofStages(flow))
         end(flow, "rejected: $reason")
     }
 
--- a/src/main/kotlin/serving/ServingConfig.kt
+++ b/src/main/kotlin/serving/ServingConfig.kt
@@ -80,7 +80,7 @@
     val engine: EngineSpec?,
 )
 
-/** An organisation; [rank] goes before the rank of a route when it is set. */
+/** An organisation; [rank] decides before the rank of a route when it is set. */
 data class CallerOrganisation(val name: String, val rank: Int?, val keys: Set<String>)
 
 /** One version of all declarations. */
@@ -95,6 +95,20 @@
     private val routesOfAuthority = routes.groupBy { it.authority.lowercase() }
         .mapValues { (_, of) -> of.sortedByDescending { it.pathPrefix.length } }
 
+    private val organisationRanks = organisations.mapNotNull { it.rank }.distinct().sorted()
+    private val routeRanks = routes.map { it.rank }.distinct().sorted()
+
+    /**
+     * Returns the rank of a request of [organisation] on [route] among all that this version allows, 0 for the most
+     * urgent. The organisation's rank decides, and between equal ones the route's. An organisation without a rank
+     * counts as the least urgent that has one.
+     */
+    fun rankOf(organisation: CallerOrganisation?, route: Route): Int {
+        val own = organisationRanks.indexOf(organisation?.rank)
+        val before = if (own >= 0) own else maxOf(0, organisationRanks.lastIndex)
+        return before * routeRanks.size + routeRanks.indexOf(route.rank)
+    }
+
     /** Returns the organisation that holds [key]. */
     fun organisationOf(key: String): CallerOrganisation? = organisationOfKey[key]
 
