Estimate the queue ahead of a request by what is due before it, and by measured times

The estimate counted the whole queue of a rank as ahead, while the queue itself goes by what is due first. Admitted requests then ended 0.1 to 0.3 s too late: the time of an engine to its first event (100 ms assumed) and the fetching of inputs were not in the estimate. A job that others crowded out waited 1.5 s before its caller heard of it, and a job with all other stages of its request done was dropped like a fresh one. A new owner, which does not know the results of the old one, sent calls of one piece to targets that were full.

Change: owners tell expected times by rank and due time. First events and calls are measured, and the measured times are left for them. Fresh jobs that are crowded out are let go after 250 ms, those with work behind them after 1.5 s. Room that a target lacks beyond what is known is believed to come back within a second, tried with more and more. A quarter of each kind is protected, not two fifths.

Failed try: asking the target for its free room.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -15,14 +15,16 @@
 private const val SLOW_FACTOR = 1.8 // a target this much slower than its peers is used only when they are full
 private const val OVERDUE_FACTOR = 2.5 // a call this much over its expected time makes its target slow
 private const val SPEED_WEIGHT = 0.4
+private const val EXTRA_WEIGHT = 0.1
 private const val CALL_PATIENCE_FACTOR = 2.5 // a target that takes longer is silent, or as good as that
 private const val CALL_PATIENCE_MS = 400.0
 private const val LATE_PATIENCE_MS = 250L // most late jobs find a free place in a call before that
-private const val FULL_ROOM_MS = 400L // results are read by their consumer within about this
-private const val LARGE_RESULT_BYTES = 100_000L
+private const val FOREIGN_LIFE_MS = 1_000L // results are mostly read within this, also those of another owner
 private const val ROOM_SHARE = 0.92 // sizes are approximate
 private const val SHORT_ROOM_SHARE = 0.35 // a full call takes up to about two thirds of the room
 private const val LATE_LIMIT_MS = 1_500L // a late job that has not begun by then has little hope in a backlog
+private const val FRESH_LATE_LIMIT_MS = 250L // an eighth of the usual objectives; later a rejection comes late
+private const val MAX_DUE_TIMES = 6 // finer steps differ by less than a call
 private const val HIGHEST_RANK = -1
 private const val ROOM_PATIENCE_MS = 300L // results in the way are freed within about this
 private const val SMALL_CALL_SHARE = 3 // a call of less than one in this many places wastes most of its fixed time
@@ -41,6 +43,9 @@
         var isEnded = false
         var running = 0
         var lastStartMs = 0L
+
+        /** Since when it could not be done in time beside the others; null while it can. */
+        var crowdedOutMs: Long? = null
         var areInputsRead = spec.pieces.all { it.inputs.isEmpty() }
     }
 
@@ -59,7 +64,10 @@
         var usedBytes = 0L
         var slowness = 1.0
         var restUntilMs = 0L
-        var fullUntilMs = 0L
+
+        /** Room that was taken at [foreignSinceMs] by results which this queue does not know: of an owner before it. */
+        var foreignBytes = 0L
+        var foreignSinceMs = 0L
         var isListed = true
     }
 
@@ -77,6 +85,9 @@
     private val effects = ArrayList<PoolEffect>()
     private var sequence = 0L
 
+    /** What calls to sound targets took lately beyond the expected time: inputs that are fetched, and the way. */
+    private var extraMs = 0.0
+
     /** Pieces that wait for a call. */
     var waiting = 0
         private set
@@ -84,24 +95,34 @@
     /** Calls in progress. */
     val calls: Int get() = running.size
 
-    /** Returns for each rank how long a job of it takes that is added now. Jobs of lower ranks and late ones yield. */
+    /**
+     * Returns how long a job takes that is added now, by its rank and the time that it has. It waits for what was begun
+     * and for the jobs of no lower rank that are due before it.
+     */
     fun expectedMs(now: Long): RankedTimes {
         val (begun, fresh) = jobs.values.filter { it.waiting.isNotEmpty() }.partition { it.isBegun }
-        val ahead = begun.sumOf { it.waiting.size }
         val freeMs = usableTargets(now).map { freeAtMs(it, now) }.sorted()
         if (freeMs.isEmpty()) return RankedTimes(emptyMap())
-        val timely = timelyJobs(fresh, ahead, now).groupBy { it.spec.rank }.toSortedMap()
-        val typical = spec.maxPieces / 2 + 1
-        val times = HashMap<Int, Double>()
-        var pieces = ahead + typical
-        times[HIGHEST_RANK] = finishMs(pieces, freeMs) - now
-        for ((rank, of) in timely) {
-            pieces += of.sumOf { it.waiting.size }
-            times[rank] = finishMs(pieces, freeMs) - now
+        val ahead = begun.sumOf { it.waiting.size } + spec.maxPieces / 2 + 1
+        val timely = timelyJobs(fresh, begun.sumOf { it.waiting.size }, now).sortedBy { it.aimMs }
+        val times = HashMap<Int, List<DueTime>>()
+        times[HIGHEST_RANK] = listOf(DueTime(0, finishMs(ahead, freeMs) - now))
+        for (rank in timely.map { it.spec.rank }.distinct()) {
+            times[rank] = dueTimes(timely.filter { it.spec.rank <= rank }, ahead, freeMs, now)
         }
         return RankedTimes(times)
     }
 
+    private fun dueTimes(jobs: List<Job>, ahead: Int, freeMs: List<Double>, now: Long): List<DueTime> {
+        val times = mutableListOf(DueTime(0, finishMs(ahead, freeMs) - now))
+        var pieces = ahead
+        for (group in jobs.chunked(jobs.size / MAX_DUE_TIMES + 1)) {
+            pieces += group.sumOf { it.waiting.size }
+            times += DueTime(group.last().aimMs - now, finishMs(pieces, freeMs) - now)
+        }
+        return times
+    }
+
     /** Takes over the pool's bounds. */
     fun update(spec: BatchSpec) {
         this.spec = spec
@@ -196,18 +217,41 @@
             job.areInputsRead = true
             effects += PoolEffect.InputsRead(job.spec.pieces.flatMap { it.inputs }.distinct())
         }
+        noteCrowdedOut(now)
         jobs.values.filter {
             it.deadlineMs <= now || isHopeless(it, now)
         }.forEach { end(it, JobOutcome(failure = JobFailure.LATE)) }
         return pump(now)
     }
 
-    /** A late job that has not begun for this long would only wait on. */
-    private fun isHopeless(job: Job, now: Long) = !job.isBegun && now > job.aimMs && now - job.addedMs >= LATE_LIMIT_MS
+    /**
+     * A late job that has not begun for a while would only wait on. One whose request has nothing to lose so far, and
+     * that was crowded out by others, is let go early, so that its caller hears of it early.
+     */
+    private fun isHopeless(job: Job, now: Long): Boolean {
+        if (job.isBegun) return false
+        val crowdedOutMs = job.crowdedOutMs
+        val hadHope = job.spec.aimLeftMs >= spec.expectedMs(spec.maxPieces)
+        if (crowdedOutMs != null && hadHope && !job.spec.hasWorkBehind) return now - crowdedOutMs >= FRESH_LATE_LIMIT_MS
+        return now > job.aimMs && now - job.addedMs >= LATE_LIMIT_MS
+    }
+
+    /** Notes which jobs cannot be done in time beside the others. */
+    private fun noteCrowdedOut(now: Long) {
+        if (waiting <= spec.maxPieces) return
+        val (begun, fresh) = jobs.values.filter { it.waiting.isNotEmpty() }.partition { it.isBegun }
+        val timely = timelyJobs(fresh, begun.sumOf { it.waiting.size }, now)
+        fresh.forEach { job ->
+            job.crowdedOutMs = if (job in timely) null else job.crowdedOutMs ?: now
+        }
+    }
 
     private fun onAnswered(run: Running, outcome: CallOutcome.Answered, now: Long) {
         val ratio = (now - run.startedMs) / run.expectedMs
         run.target.slowness += SPEED_WEIGHT * (ratio - run.target.slowness)
+        if (ratio <= SLOW_FACTOR) {
+            extraMs = maxOf(0.0, extraMs + EXTRA_WEIGHT * (now - run.startedMs - run.expectedMs - extraMs))
+        }
         run.items.forEachIndexed { i, item -> onItem(run, item, outcome.items[i], now) }
     }
 
@@ -228,7 +272,8 @@
             PieceOutcome.InputGone -> end(item.job, JobOutcome(failure = JobFailure.INPUT_GONE))
 
             PieceOutcome.NoRoom -> {
-                run.target.fullUntilMs = now + FULL_ROOM_MS
+                run.target.foreignBytes = maxOf(0, spec.roomBytes - run.target.usedBytes)
+                run.target.foreignSinceMs = now
                 if (!item.job.isEnded) enqueue(item)
             }
 
@@ -341,14 +386,16 @@
         return if (mayWaitForRoom(call, target, order, now)) emptyList() else call.items
     }
 
-    private fun roomAt(target: Target, now: Long): Long {
-        val room = (spec.roomBytes * ROOM_SHARE).toLong() - target.usedBytes
-        return if (target.fullUntilMs > now) minOf(room, LARGE_RESULT_BYTES) else room
-    }
+    private fun roomAt(target: Target, now: Long): Long =
+        (spec.roomBytes * ROOM_SHARE).toLong() - target.usedBytes - foreignBytes(target, now)
+
+    /** Results of other owners are freed one after the other; what is left of them is found out by trying. */
+    private fun foreignBytes(target: Target, now: Long): Long =
+        maxOf(0, target.foreignBytes * (FOREIGN_LIFE_MS - (now - target.foreignSinceMs)) / FOREIGN_LIFE_MS)
 
     /** A call that lack of room keeps small is better started once results in the way are freed. */
     private fun mayWaitForRoom(call: CallFill, target: Target, order: List<Job>, now: Long): Boolean {
-        if (!call.lacksRoom || target.usedBytes == 0L) return false
+        if (!call.lacksRoom || target.usedBytes + foreignBytes(target, now) == 0L) return false
         val isSmall = call.items.size * SMALL_CALL_SHARE < minOf(waiting, spec.maxPieces)
         val isPatient = order.firstOrNull()?.let { now - it.addedMs < ROOM_PATIENCE_MS } ?: true
         return isSmall && isPatient
@@ -416,17 +463,20 @@
         return timely
     }
 
+    /** Time of a call with [pieces] as calls took lately, with the way there and back. */
+    private fun usualMs(pieces: Int) = spec.expectedMs(pieces) + extraMs
+
     private fun freeAtMs(target: Target, now: Long): Double {
         val run = running.values.firstOrNull { it.target === target } ?: return now.toDouble()
-        return maxOf(now.toDouble(), run.startedMs + run.expectedMs * maxOf(1.0, target.slowness))
+        return maxOf(now.toDouble(), run.startedMs + extraMs + run.expectedMs * maxOf(1.0, target.slowness))
     }
 
     /** When the last of [pieces] is done if full calls start as targets get free. */
     private fun finishMs(pieces: Int, freeMs: List<Double>): Double {
         val call = (pieces - 1) / spec.maxPieces
         val rounds = call / freeMs.size
-        val start = freeMs[call % freeMs.size] + rounds * spec.expectedMs(spec.maxPieces)
-        return start + spec.expectedMs(pieces - call * spec.maxPieces)
+        val start = freeMs[call % freeMs.size] + rounds * usualMs(spec.maxPieces)
+        return start + usualMs(pieces - call * spec.maxPieces)
     }
 
     private fun start(target: Target, items: List<Item>, now: Long) {
--- a/src/main/kotlin/batching/StageMessages.kt
+++ b/src/main/kotlin/batching/StageMessages.kt
@@ -18,6 +18,7 @@
  * @property deadlineLeftMs time until the result is of no use.
  * @property stagesLeft stages of the request that follow this one.
  * @property dataCentre where large results will probably be read; null when it does not matter.
+ * @property hasWorkBehind whether other stages of the request are done, whose work is lost with this job.
  */
 @Serializable
 data class StageJob(
@@ -32,6 +33,7 @@
     val deadlineLeftMs: Long,
     val stagesLeft: Int = 0,
     val dataCentre: String? = null,
+    val hasWorkBehind: Boolean = false,
 )
 
 /** Why a job ended without results. */
@@ -42,11 +44,21 @@
 @Serializable
 data class JobOutcome(val handles: List<String> = emptyList(), val failure: JobFailure? = null)
 
-/** Times in ms by rank: each holds for its rank and the lower ones up to the next entry. */
+/** Time in ms that a job takes which has to be done in [dueMs] or a little later. */
 @Serializable
-data class RankedTimes(private val byRank: Map<Int, Double>) {
-    /** Returns the time for [rank]; null where nothing is known. */
-    fun of(rank: Int): Double? = byRank.filterKeys { it <= rank }.maxByOrNull { it.key }?.value
+data class DueTime(val dueMs: Long, val expectedMs: Double)
+
+/** Times in ms by rank, each holding for the lower ones up to the next entry; of one rank by the time that is left. */
+@Serializable
+data class RankedTimes(private val byRank: Map<Int, List<DueTime>>) {
+    /**
+     * Returns the time that a job of [rank] takes which has to be done in [dueMs]: those due earlier go first. Null
+     * where nothing is known.
+     */
+    fun of(rank: Int, dueMs: Long): Double? {
+        val times = byRank.filterKeys { it <= rank }.maxByOrNull { it.key }?.value ?: return null
+        return (times.lastOrNull { it.dueMs <= dueMs } ?: times.first()).expectedMs
+    }
 }
 
 /** One piece within a call. */
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -433,7 +433,7 @@
             return maxOf(1, most / maxOf(1, membership.live().size))
         }
 
-        override fun stageMs(service: String, rank: Int) = stages.stageMs(service, rank)
+        override fun stageMs(service: String, rank: Int, dueMs: Long) = stages.stageMs(service, rank, dueMs)
 
         override fun idleStageMs(service: String) = stages.idleStageMs(service)
     }
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -167,13 +167,13 @@
         pending.values.filter { it.owner == host }.forEach(::place)
     }
 
-    /** Expected time of a stage in [service] for a request of [rank], with its queue. */
-    fun stageMs(service: String, rank: Int): Double {
+    /** Expected time of a stage in [service], with the queue there, for a request of [rank] that needs it in [dueMs]. */
+    fun stageMs(service: String, rank: Int, dueMs: Long): Double {
         val now = clock.nowMs()
         val own = queues[service]?.takeIf { it.waiting > 0 || it.calls > 0 }
         val known = if (own != null) ownTimes(service, own, now) else told[service]
         val isFresh = known != null && now - known.second < POOL_NEWS_LIFE_MS
-        return known?.first?.of(rank).takeIf { isFresh } ?: idleStageMs(service)
+        return known?.first?.of(rank, dueMs).takeIf { isFresh } ?: idleStageMs(service)
     }
 
     private fun ownTimes(service: String, queue: PieceQueue, now: Long): Pair<RankedTimes, Long> {
--- a/src/main/kotlin/serving/Flow.kt
+++ b/src/main/kotlin/serving/Flow.kt
@@ -6,7 +6,7 @@
 import org.sesamerouter.discovery.TargetEntry
 
 private const val PERCENT = 100
-private const val PROTECTED_PERCENT = 40
+private const val PROTECTED_PERCENT = 25
 
 /** The state of one request. */
 internal class Flow(val request: ForwardRequest) {
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -57,6 +57,7 @@
 
     /** Takes in [event] and returns what is to be done, in order. */
     fun handle(event: FlowEvent, now: Long): List<FlowEffect> {
+        times.nowMs = now
         when (event) {
             is FlowEvent.Arrived -> onArrived(event.request, now)
             is FlowEvent.StageEnded -> onStageEnded(event, now)
@@ -82,7 +83,7 @@
         budgetOf(request.service).earn()
         if (quarantine.standing(request.fingerprint, now) == Standing.QUARANTINED) {
             reject(flow, RejectReason.QUARANTINED, quarantine.remainingMs(request.fingerprint, now))
-        } else if (times.isTimely(flow, now) || times.isSpare(flow)) {
+        } else if (times.isTimely(flow) || times.isSpare(flow)) {
             startStages(flow, now)
         } else {
             waitBeside(flow, now)
@@ -147,6 +148,7 @@
             deadlineLeftMs = request.deadlineMs - rest / 2 - now,
             stagesLeft = flow.stagesAfter(number),
             dataCentre = nearestDataCentre(flow, number, inputs, now),
+            hasWorkBehind = flow.handles.any { it != null },
         )
         flow.jobs[job.job] = number
         flowOfJob[job.job] = flow
@@ -205,8 +207,7 @@
             forgetHandles(flow)
             runStagesAgain(flow, now)
         } else {
-            val reason = if (failure == JobFailure.LATE) RejectReason.DEADLINE else RejectReason.STAGE_FAILED
-            giveUp(flow, reason)
+            giveUp(flow, if (failure == JobFailure.LATE) RejectReason.OVERLOAD else RejectReason.STAGE_FAILED)
         }
     }
 
@@ -282,6 +283,7 @@
         val (flow, sent) = sentOf(event.send) ?: return
         flow.isBegun = true
         event.load?.let { plain.onLoad(sent.target, it, now) }
+        if (!sent.isRead) times.onFirstEvent(flow.request.service, now - sent.sentMs, sent.unread)
         markRead(flow, sent)
     }
 
--- a/src/test/kotlin/batching/PieceQueueSpec.kt
+++ b/src/test/kotlin/batching/PieceQueueSpec.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.property.Arb
@@ -180,6 +181,46 @@
             (again.target.id != call.target.id) shouldBe true
         }
 
+        test("a target that said that it has no room is tried with more and more until it takes all again") {
+            val queue = queue("t1", spec = SPEC.copy(roomBytes = 8_000_000))
+            val call = queue.submit(job("a", 8, bytes = 900_000), 0).calls().single()
+            val answer = call.items.mapIndexed { i, _ ->
+                if (i < 2) PieceOutcome.Made("${call.target.address}/$i") else PieceOutcome.NoRoom
+            }
+            queue.onCallEnded(call.call, CallOutcome.Answered(answer), 300).calls().shouldBeEmpty()
+            queue.onTick(400).calls().shouldBeEmpty()
+            val part = queue.onTick(800).calls().single()
+            part.items.size shouldBeLessThanOrEqual 5
+            val next = queue.onCallEnded(part.call, made(part, from = 10), 1_500).calls().single()
+            part.items.size + next.items.size shouldBe 6
+        }
+
+        test("a job is expected to wait for those that are due before it, and not for the others") {
+            val queue = queue("t1")
+            queue.submit(job("running", 8), 0)
+            queue.submit(job("soon", 8, rank = 1, aimLeftMs = 1_000), 0)
+            queue.submit(job("later", 16, rank = 1, aimLeftMs = 4_000), 0)
+            queue.submit(job("lower", 8, rank = 2, aimLeftMs = 3_000), 0)
+            val times = queue.expectedMs(0)
+            val full = SPEC.expectedMs(SPEC.maxPieces)
+            checkNotNull(times.of(1, 900)) shouldBeLessThan 2 * full
+            checkNotNull(times.of(1, 2_000)) shouldBeLessThan 3 * full
+            checkNotNull(times.of(2, 3_500)) shouldBeGreaterThan checkNotNull(times.of(1, 3_500))
+            checkNotNull(times.of(1, 9_000)) shouldBeGreaterThan 4 * full
+        }
+
+        test("a fresh job that others crowd out is let go early, one whose request has work behind it is kept") {
+            for ((hasWork, isKept) in listOf(false to false, true to true)) {
+                val queue = queue("t1")
+                queue.submit(job("running", 8), 0)
+                (1..3).forEach { queue.submit(job("urgent$it", 8, rank = 0, aimLeftMs = 400 + 400L * it), 0) }
+                queue.submit(job("low", 8, rank = 2, aimLeftMs = 1_200).copy(hasWorkBehind = hasWork), 10)
+                val ended = (1..8).flatMap { queue.onTick(10 + it * 40L).done() }
+                ended.map { it.job } shouldContainExactly if (isKept) emptyList() else listOf("low")
+                ended.forEach { it.outcome.failure shouldBe JobFailure.LATE }
+            }
+        }
+
         test("jobs that were not begun are handed back at a planned stop, begun ones are finished") {
             val queue = queue("t1")
             val running = queue.submit(job("a", 2), 0).calls().single()
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
@@ -65,7 +66,7 @@
 
     override fun connectionShare(service: String) = 8
 
-    override fun stageMs(service: String, rank: Int) = 300.0 + busyMs
+    override fun stageMs(service: String, rank: Int, dueMs: Long) = 300.0 + busyMs
 
     override fun idleStageMs(service: String) = 300.0
 }
@@ -124,6 +125,20 @@
             next.map { it.stage } shouldContainExactlyInAnyOrder listOf(0, 2)
         }
 
+        test("the time that engines take to the first event is measured and left for them at the end") {
+            val host = Host()
+            val route = route(RouteKind.STREAM, stages = STAGES)
+            val before = host.arrive(route, listOf(0, 1, 1), flow = 1).jobs().single().aimLeftMs
+            repeat(30) {
+                val flow = 2L + it
+                val send = host.arrive(route(RouteKind.STREAM), flow = flow).sends().single()
+                host.now += 500
+                host.handle(FlowEvent.AnswerBegan(send.send, null))
+            }
+            val after = host.arrive(route, listOf(0, 1, 1), flow = 40).jobs().single().aimLeftMs
+            after shouldBeLessThan before - 200
+        }
+
         test("an unsafe request that may have run is not sent again and not said to have not run") {
             val host = Host()
             val send = host.arrive(route(RouteKind.UNSAFE)).sends().single()
--- a/src/test/kotlin/serving/ServingConfigSpec.kt
+++ b/src/test/kotlin/serving/ServingConfigSpec.kt
@@ -8,8 +8,10 @@
 import io.kotest.matchers.shouldBe
 import org.sesamerouter.web.RequestLimits
 
-private fun route(name: String, rank: Int) =
-    Route(name, "shop.example", "/$name/", RouteKind.SAFE, false, 1_000, 100, rank, emptyList(), 1, emptyList(), false, 0)
+private fun route(name: String, rank: Int) = Route(
+    name, "shop.example", "/$name/", RouteKind.SAFE, false, 1_000, 100, rank,
+    shares = emptyList(), maxAttempts = 1, stages = emptyList(), isPublic = false, gapAimMs = 0,
+)
 
 private fun organisation(name: String, rank: Int?) = CallerOrganisation(name, rank, setOf("key of $name"))
 
