--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -167,7 +167,7 @@
         pending.values.filter { it.owner == host }.forEach(::place)
     }
 
-    /** Expected time of a stage in [service], with the queue there, for a request of [rank] that needs it in [dueMs]. */
+    /** Expected time of a stage in [service], with its queue, for a request of [rank] that needs it in [dueMs]. */
     fun stageMs(service: String, rank: Int, dueMs: Long): Double {
         val now = clock.nowMs()
         val own = queues[service]?.takeIf { it.waiting > 0 || it.calls > 0 }
--- a/src/main/kotlin/serving/FlowSurroundings.kt
+++ b/src/main/kotlin/serving/FlowSurroundings.kt
@@ -19,7 +19,7 @@
     /** Most connections of this host to one target of [service]. */
     fun connectionShare(service: String): Int
 
-    /** Expected time of a stage in [service], with the queue there, for a request of [rank] that needs it in [dueMs]. */
+    /** Expected time of a stage in [service], with its queue, for a request of [rank] that needs it in [dueMs]. */
     fun stageMs(service: String, rank: Int, dueMs: Long): Double
 
     /** Expected time of a stage in the pool [service] without a queue. */
