Free inputs early only at targets of one owner, and count objectives from the first asking

The new owner took a call as begun when it was sent, freed its inputs 60 ms later, and the call still waited behind one of the old owner; the request then ran all its stages again. And callers that had been refused came back with their objective already passed, which the deadline that they bring shows, but were queued like fresh ones, so that fresh ones became late as well.

Ruled out for the first: results that lapsed after 4 s, lost targets (those bursts stand at the crashes alone).

Change: inputs are freed early only where the last call took no longer than alone.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -15,6 +15,7 @@
 private const val SLOW_FACTOR = 1.8 // a target this much slower than its peers is used only when they are full
 private const val OVERDUE_FACTOR = 2.5 // a call this much over its expected time makes its target slow
 private const val SPEED_WEIGHT = 0.4
+private const val SOLO_FACTOR = 1.5 // behind another call it takes about twice its time
 private const val EXTRA_WEIGHT = 0.1
 private const val CALL_PATIENCE_FACTOR = 2.5 // a target that takes longer is silent, or as good as that
 private const val CALL_PATIENCE_MS = 400.0
@@ -44,20 +45,25 @@
         var running = 0
         var lastStartMs = 0L
 
+        /** Running pieces whose call may wait at its target behind one that this queue did not start. */
+        var queuedPieces = 0
+
         /** Since when it could not be done in time beside the others; null while it can. */
         var crowdedOutMs: Long? = null
         var areInputsRead = spec.pieces.all { it.inputs.isEmpty() }
     }
 
     private fun Job.isFetched(now: Long) =
-        !areInputsRead && waiting.isEmpty() && running > 0 && now - lastStartMs >= FETCH_MS
+        !areInputsRead && queuedPieces == 0 && waiting.isEmpty() && running > 0 && now - lastStartMs >= FETCH_MS
 
     private class Item(val job: Job, val index: Int) {
         var tries = 0
         val piece get() = job.spec.pieces[index]
     }
 
-    private class Running(val target: Target, val items: List<Item>, val startedMs: Long, val expectedMs: Double)
+    private class Running(val target: Target, val items: List<Item>, val startedMs: Long, val expectedMs: Double) {
+        val mayBeQueued = !target.isSolo
+    }
 
     private class Target(var entry: TargetEntry) {
         var calls = 0
@@ -69,6 +75,9 @@
         var foreignBytes = 0L
         var foreignSinceMs = 0L
         var isListed = true
+
+        /** Whether the last call took no longer than alone at its target; not where another owner makes calls too. */
+        var isSolo = false
     }
 
     private class Release(val target: Target, val bytes: Long)
@@ -191,6 +200,7 @@
     fun onCallEnded(call: Long, outcome: CallOutcome, now: Long): List<PoolEffect> {
         val run = running.remove(call) ?: return emptyList()
         run.target.calls--
+        if (run.mayBeQueued) run.items.forEach { it.job.queuedPieces-- }
         when (outcome) {
             is CallOutcome.Answered -> onAnswered(run, outcome, now)
 
@@ -248,6 +258,7 @@
 
     private fun onAnswered(run: Running, outcome: CallOutcome.Answered, now: Long) {
         val ratio = (now - run.startedMs) / run.expectedMs
+        run.target.isSolo = ratio <= SOLO_FACTOR
         run.target.slowness += SPEED_WEIGHT * (ratio - run.target.slowness)
         if (ratio <= SLOW_FACTOR) {
             extraMs = maxOf(0.0, extraMs + EXTRA_WEIGHT * (now - run.startedMs - run.expectedMs - extraMs))
@@ -486,6 +497,7 @@
             target.usedBytes += it.job.spec.resultBytes
             it.job.running++
             it.job.lastStartMs = now
+            if (!target.isSolo) it.job.queuedPieces++
         }
         waiting -= items.size
         val call = sequence++
--- a/src/main/kotlin/serving/ChainTimes.kt
+++ b/src/main/kotlin/serving/ChainTimes.kt
@@ -63,7 +63,7 @@
     /** Expected time from the end of [stage] to the first event. */
     fun restMs(flow: Flow, stage: Int): Long = restMs(flow, stage, aimLeftMs(flow), queued(flow))
 
-    private fun aimLeftMs(flow: Flow) = flow.request.arrivedMs + flow.request.route.aimMs - nowMs
+    private fun aimLeftMs(flow: Flow) = flow.askedMs + flow.request.route.aimMs - nowMs
 
     private fun queued(flow: Flow) = { service: String, dueMs: Long -> surroundings.stageMs(service, flow.rank, dueMs) }
 
--- a/src/main/kotlin/serving/Flow.kt
+++ b/src/main/kotlin/serving/Flow.kt
@@ -8,8 +8,14 @@
 private const val PERCENT = 100
 private const val PROTECTED_PERCENT = 25
 
-/** The state of one request. */
-internal class Flow(val request: ForwardRequest) {
+/** The state of one request that its caller asked for [ageMs] before it came here. */
+internal class Flow(val request: ForwardRequest, ageMs: Long = 0) {
+    /** When the caller probably asked for the first time; its objective counts from there. */
+    val askedMs = request.arrivedMs - ageMs
+
+    /** Whether it was refused before and came back. */
+    val isReturned = ageMs > 0
+
     /** Rank in the pools; some of each kind count as the most urgent, so that no kind starves in an overload. */
     val rank = if (Math.floorMod(request.id.hashCode(), PERCENT) < PROTECTED_PERCENT) 0 else request.rank
 
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -21,6 +21,7 @@
 private const val MAX_STAGE_RUNS = 2
 private const val RETRY_AFTER_MS = 400L
 private const val LANE_WAIT_PART = 8 // of the objective; after that the caller is told when to come back
+private const val RETURNED_WAIT_PART = 6 // of the time left: refused twice is worse than late
 private const val MAX_IN_LANE = 24 // what the pools catch up with within a caller's deadline after a burst
 private const val MAX_FROM_LANE = 2 // of one host at a time, so that all hosts together do not flood the pools
 private const val LARGE_BYTES = 200_000L // fewer cost little on the way to another data centre
@@ -47,6 +48,7 @@
     private val budgets = HashMap<String, Budget>()
     private val effects = ArrayList<FlowEffect>()
     private val times = ChainTimes(surroundings)
+    private val waits = CallerWaits()
     private val crashes = CrashWatch()
     private val lane = LateLane(MAX_IN_LANE)
     private val startedFromLane = HashSet<Long>()
@@ -78,7 +80,7 @@
     }
 
     private fun onArrived(request: ForwardRequest, now: Long) {
-        val flow = Flow(request)
+        val flow = Flow(request, waits.ageMs(request, now))
         flows[request.flow] = flow
         budgetOf(request.service).earn()
         if (quarantine.standing(request.fingerprint, now) == Standing.QUARANTINED) {
@@ -93,8 +95,12 @@
     /** Lets a request wait for calm pools, if they may be calm soon. */
     private fun waitBeside(flow: Flow, now: Long) {
         val request = flow.request
-        val longestMs = request.route.aimMs / LANE_WAIT_PART
-        if (times.backlogMs(flow) > longestMs * 2) {
+        val longestMs = if (flow.isReturned) {
+            (request.deadlineMs - now) / RETURNED_WAIT_PART
+        } else {
+            request.route.aimMs / LANE_WAIT_PART
+        }
+        if (!flow.isReturned && times.backlogMs(flow) > longestMs * 2) {
             reject(flow, RejectReason.OVERLOAD, times.retryAfterMs(flow))
             return
         }
@@ -144,7 +150,7 @@
             pieces = List(flow.piecesOf(number)) { Piece(it, key, inputs) },
             resultBytes = stage.resultBytes,
             rank = flow.rank,
-            aimLeftMs = if (flow.isBegun) RESUME_AIM_MS else request.arrivedMs + request.route.aimMs - rest - now,
+            aimLeftMs = if (flow.isBegun) RESUME_AIM_MS else flow.askedMs + request.route.aimMs - rest - now,
             deadlineLeftMs = request.deadlineMs - rest / 2 - now,
             stagesLeft = flow.stagesAfter(number),
             dataCentre = nearestDataCentre(flow, number, inputs, now),
--- a/src/test/kotlin/batching/PieceQueueSpec.kt
+++ b/src/test/kotlin/batching/PieceQueueSpec.kt
@@ -35,6 +35,8 @@
     deadlineLeftMs: Long = 12_000,
 ) = StageJob(id, "r-$id", "stock", 0, List(pieces) { Piece(it, "key") }, bytes, rank, aimLeftMs, deadlineLeftMs)
 
+private fun StageJob.withInput() = copy(pieces = pieces.map { Piece(it.number, null, listOf("10.9.9.9:80/h")) })
+
 private fun List<PoolEffect>.calls() = filterIsInstance<PoolEffect.Call>()
 
 private fun List<PoolEffect>.done() = filterIsInstance<PoolEffect.Done>()
@@ -91,10 +93,7 @@
 
         test("inputs are told as fetched only when every piece of the job has been running for a while") {
             val queue = queue("t1")
-            val job = job("a", 9).let { j ->
-                j.copy(pieces = j.pieces.map { Piece(it.number, null, listOf("10.9.9.9:80/h")) })
-            }
-            val first = queue.submit(job, 0).calls().single()
+            val first = queue.submit(job("a", 9).withInput(), 0).calls().single()
             queue.onTick(200).filterIsInstance<PoolEffect.InputsRead>().shouldBeEmpty()
             queue.onCallEnded(first.call, made(first), 400)
             queue.onTick(430).filterIsInstance<PoolEffect.InputsRead>().shouldBeEmpty()
@@ -102,6 +101,18 @@
                 listOf("10.9.9.9:80/h")
         }
 
+        test("inputs are not told as fetched while the call may wait behind one of another owner") {
+            val queue = queue("t1")
+            val first = queue.submit(job("a", 8).withInput(), 0).calls().single()
+            queue.submit(job("b", 8).withInput(), 10)
+            queue.onTick(300).filterIsInstance<PoolEffect.InputsRead>().shouldBeEmpty()
+            val second = queue.onCallEnded(first.call, made(first), 900).calls().single()
+            queue.onTick(1_100).filterIsInstance<PoolEffect.InputsRead>().shouldBeEmpty()
+            queue.submit(job("c", 8).withInput(), 1_110)
+            queue.onCallEnded(second.call, made(second, from = 10), 1_300).calls().single()
+            queue.onTick(1_400).filterIsInstance<PoolEffect.InputsRead>().shouldHaveSize(1)
+        }
+
         test("room counts as taken until the target has confirmed that it freed the results") {
             val spec = SPEC.copy(roomBytes = 4_400_000)
             val queue = queue("t1", spec = spec)
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -125,6 +125,18 @@
             next.map { it.stage } shouldContainExactlyInAnyOrder listOf(0, 2)
         }
 
+        test("a caller that comes back has its objective counted from the time at which it first asked") {
+            val host = Host()
+            val route = route(RouteKind.STREAM, stages = STAGES)
+            val fresh = host.arrive(route, listOf(0, 1, 1), flow = 1).jobs().single().aimLeftMs
+            repeat(40) { host.arrive(route(RouteKind.STREAM), flow = 2L + it, deadlineMs = 10_000L - 20 * it) }
+            host.now += 600
+            val usual = host.arrive(route, listOf(0, 1, 1), flow = 50, deadlineMs = 9_400).jobs().single().aimLeftMs
+            usual shouldBe fresh
+            val back = host.arrive(route, listOf(0, 1, 1), flow = 51, deadlineMs = 8_000).jobs().single().aimLeftMs
+            back shouldBeLessThan fresh - 500
+        }
+
         test("the time that engines take to the first event is measured and left for them at the end") {
             val host = Host()
             val route = route(RouteKind.STREAM, stages = STAGES)
