Split the queue of a pool by duty

Change: jobs, targets with their room, the filling of a call and the time line of the pool have files of their own. No change of behaviour; its tests pass unchanged.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -20,74 +20,33 @@
 private const val CALL_PATIENCE_FACTOR = 2.5 // a target that takes longer is silent, or as good as that
 private const val CALL_PATIENCE_MS = 400.0
 private const val LATE_PATIENCE_MS = 250L // most late jobs find a free place in a call before that
-private const val FOREIGN_LIFE_MS = 1_000L // results are mostly read within this, also those of another owner
-private const val ROOM_SHARE = 0.92 // sizes are approximate
 private const val SHORT_ROOM_SHARE = 0.35 // a full call takes up to about two thirds of the room
 private const val LATE_LIMIT_MS = 1_500L // a late job that has not begun by then has little hope in a backlog
 private const val FRESH_LATE_LIMIT_MS = 250L // an eighth of the usual objectives; later a rejection comes late
-private const val MAX_DUE_TIMES = 6 // finer steps differ by less than a call
-private const val HIGHEST_RANK = -1
 private const val ROOM_PATIENCE_MS = 300L // results in the way are freed within about this
 private const val SMALL_CALL_SHARE = 3 // a call of less than one in this many places wastes most of its fixed time
 private const val NEAR_WAIT_MS = 400L // a longer wait costs more than a result that crosses data centres
 private const val NEAR_SLACK_MS = 150L
-private const val FETCH_MS = 60L // a target that was free fetches the inputs of a call within a few ms
 
 /** The queue of the pool [service]. Not thread-safe. */
 class PieceQueue(val service: String, private var spec: BatchSpec) {
-    private class Job(val spec: StageJob, val addedMs: Long, val sequence: Long) {
-        val aimMs = addedMs + spec.aimLeftMs
-        val deadlineMs = addedMs + spec.deadlineLeftMs
-        val waiting = ArrayList<Item>()
-        val isBegun get() = running > 0 || handles.any { it != null }
-        val handles = arrayOfNulls<String>(spec.pieces.size)
-        var isEnded = false
-        var running = 0
-        var lastStartMs = 0L
-
-        /** Running pieces whose call may wait at its target behind one that this queue did not start. */
-        var queuedPieces = 0
-
-        /** Since when it could not be done in time beside the others; null while it can. */
-        var crowdedOutMs: Long? = null
-        var areInputsRead = spec.pieces.all { it.inputs.isEmpty() }
-    }
-
-    private fun Job.isFetched(now: Long) =
-        !areInputsRead && queuedPieces == 0 && waiting.isEmpty() && running > 0 && now - lastStartMs >= FETCH_MS
-
-    private class Item(val job: Job, val index: Int) {
-        var tries = 0
-        val piece get() = job.spec.pieces[index]
-    }
-
-    private class Running(val target: Target, val items: List<Item>, val startedMs: Long, val expectedMs: Double) {
+    private class Running(
+        val target: PoolTarget,
+        val items: List<QueuedPiece>,
+        val startedMs: Long,
+        val expectedMs: Double,
+    ) {
         val mayBeQueued = !target.isSolo
     }
 
-    private class Target(var entry: TargetEntry) {
-        var calls = 0
-        var usedBytes = 0L
-        var slowness = 1.0
-        var restUntilMs = 0L
-
-        /** Room that was taken at [foreignSinceMs] by results which this queue does not know: of an owner before it. */
-        var foreignBytes = 0L
-        var foreignSinceMs = 0L
-        var isListed = true
+    private class Release(val target: PoolTarget, val bytes: Long)
 
-        /** Whether the last call took no longer than alone at its target; not where another owner makes calls too. */
-        var isSolo = false
-    }
-
-    private class Release(val target: Target, val bytes: Long)
-
-    private class Result(val target: Target, val bytes: Long) {
+    private class Result(val target: PoolTarget, val bytes: Long) {
         var isRead = false
     }
 
-    private val targets = LinkedHashMap<String, Target>()
-    private val jobs = HashMap<String, Job>()
+    private val targets = LinkedHashMap<String, PoolTarget>()
+    private val jobs = HashMap<String, QueuedJob>()
     private val running = HashMap<Long, Running>()
     private val results = HashMap<String, Result>()
     private val releases = HashMap<Long, Release>()
@@ -109,28 +68,13 @@
      * and for the jobs of no lower rank that are due before it.
      */
     fun expectedMs(now: Long): RankedTimes {
-        val (begun, fresh) = jobs.values.filter { it.waiting.isNotEmpty() }.partition { it.isBegun }
-        val freeMs = usableTargets(now).map { freeAtMs(it, now) }.sorted()
-        if (freeMs.isEmpty()) return RankedTimes(emptyMap())
-        val ahead = begun.sumOf { it.waiting.size } + spec.maxPieces / 2 + 1
-        val timely = timelyJobs(fresh, begun.sumOf { it.waiting.size }, now).sortedBy { it.aimMs }
-        val times = HashMap<Int, List<DueTime>>()
-        times[HIGHEST_RANK] = listOf(DueTime(0, finishMs(ahead, freeMs) - now))
-        for (rank in timely.map { it.spec.rank }.distinct()) {
-            times[rank] = dueTimes(timely.filter { it.spec.rank <= rank }, ahead, freeMs, now)
-        }
-        return RankedTimes(times)
+        val (begun, fresh) = waitingJobs().partition { it.isBegun }
+        return timeline(now).expectedMs(begun.sumOf { it.waiting.size }, fresh, now)
     }
 
-    private fun dueTimes(jobs: List<Job>, ahead: Int, freeMs: List<Double>, now: Long): List<DueTime> {
-        val times = mutableListOf(DueTime(0, finishMs(ahead, freeMs) - now))
-        var pieces = ahead
-        for (group in jobs.chunked(jobs.size / MAX_DUE_TIMES + 1)) {
-            pieces += group.sumOf { it.waiting.size }
-            times += DueTime(group.last().aimMs - now, finishMs(pieces, freeMs) - now)
-        }
-        return times
-    }
+    private fun waitingJobs() = jobs.values.filter { it.waiting.isNotEmpty() }
+
+    private fun timeline(now: Long) = PoolTimeline(spec, extraMs, usableTargets(now).map { freeAtMs(it, now) }.sorted())
 
     /** Takes over the pool's bounds. */
     fun update(spec: BatchSpec) {
@@ -144,7 +88,7 @@
         for (entry in entries) {
             val known = targets[entry.id]
             if (known == null || known.entry.bornMs != entry.bornMs) {
-                targets[entry.id] = Target(entry)
+                targets[entry.id] = PoolTarget(entry)
             } else {
                 known.entry = entry
             }
@@ -155,9 +99,9 @@
 
     /** Adds the pieces of [job]. */
     fun submit(job: StageJob, now: Long): List<PoolEffect> {
-        val added = Job(job, now, sequence++)
+        val added = QueuedJob(job, now, sequence++)
         jobs[job.job] = added
-        job.pieces.indices.forEach { enqueue(Item(added, it)) }
+        job.pieces.indices.forEach { enqueue(QueuedPiece(added, it)) }
         return pump(now)
     }
 
@@ -238,7 +182,7 @@
      * A late job that has not begun for a while would only wait on. One whose request has nothing to lose so far, and
      * that was crowded out by others, is let go early, so that its caller hears of it early.
      */
-    private fun isHopeless(job: Job, now: Long): Boolean {
+    private fun isHopeless(job: QueuedJob, now: Long): Boolean {
         if (job.isBegun) return false
         val crowdedOutMs = job.crowdedOutMs
         val hadHope = job.spec.aimLeftMs >= spec.expectedMs(spec.maxPieces)
@@ -249,8 +193,8 @@
     /** Notes which jobs cannot be done in time beside the others. */
     private fun noteCrowdedOut(now: Long) {
         if (waiting <= spec.maxPieces) return
-        val (begun, fresh) = jobs.values.filter { it.waiting.isNotEmpty() }.partition { it.isBegun }
-        val timely = timelyJobs(fresh, begun.sumOf { it.waiting.size }, now)
+        val (begun, fresh) = waitingJobs().partition { it.isBegun }
+        val timely = timeline(now).timelyJobs(fresh, begun.sumOf { it.waiting.size })
         fresh.forEach { job ->
             job.crowdedOutMs = if (job in timely) null else job.crowdedOutMs ?: now
         }
@@ -266,7 +210,7 @@
         run.items.forEachIndexed { i, item -> onItem(run, item, outcome.items[i], now) }
     }
 
-    private fun onItem(run: Running, item: Item, outcome: PieceOutcome, now: Long) {
+    private fun onItem(run: Running, item: QueuedPiece, outcome: PieceOutcome, now: Long) {
         val bytes = item.job.spec.resultBytes
         item.job.running--
         if (outcome !is PieceOutcome.Made || outcome.handle in results) run.target.usedBytes -= bytes
@@ -283,8 +227,7 @@
             PieceOutcome.InputGone -> end(item.job, JobOutcome(failure = JobFailure.INPUT_GONE))
 
             PieceOutcome.NoRoom -> {
-                run.target.foreignBytes = maxOf(0, spec.roomBytes - run.target.usedBytes)
-                run.target.foreignSinceMs = now
+                run.target.onNoRoom(spec, now)
                 if (!item.job.isEnded) enqueue(item)
             }
 
@@ -292,7 +235,7 @@
         }
     }
 
-    private fun made(item: Item, handle: String) {
+    private fun made(item: QueuedPiece, handle: String) {
         val job = item.job
         if (job.isEnded) {
             release(listOf(handle))
@@ -314,13 +257,13 @@
         }
     }
 
-    private fun retry(item: Item) {
+    private fun retry(item: QueuedPiece) {
         if (item.job.isEnded) return
         item.tries++
         if (item.tries >= MAX_TRIES) end(item.job, JobOutcome(failure = JobFailure.FAILED)) else enqueue(item)
     }
 
-    private fun end(job: Job, outcome: JobOutcome) {
+    private fun end(job: QueuedJob, outcome: JobOutcome) {
         if (job.isEnded) return
         job.isEnded = true
         jobs.remove(job.spec.job)
@@ -339,7 +282,7 @@
         }
     }
 
-    private fun enqueue(item: Item) {
+    private fun enqueue(item: QueuedPiece) {
         item.job.waiting += item
         waiting++
     }
@@ -369,7 +312,7 @@
     private fun usableTargets(now: Long) = targets.values.filter { it.isListed && it.restUntilMs <= now }
 
     /** Targets that may take a call, the best first. Slow ones are used only when the others would be full. */
-    private fun freeTargets(now: Long): List<Target> {
+    private fun freeTargets(now: Long): List<PoolTarget> {
         val usable = usableTargets(now)
         val soundOnes = usable.count { it.slowness <= SLOW_FACTOR }
         val needsSlow = soundOnes == 0 || waiting > soundOnes * spec.maxPieces
@@ -378,17 +321,17 @@
     }
 
     /** Jobs that were begun hold room without being of use, so they come first. */
-    private fun jobOrder(now: Long): List<Job> {
-        val (begun, fresh) = jobs.values.filter { it.waiting.isNotEmpty() }.partition { it.isBegun }
-        val timely = timelyJobs(fresh, begun.sumOf { it.waiting.size }, now)
+    private fun jobOrder(now: Long): List<QueuedJob> {
+        val (begun, fresh) = waitingJobs().partition { it.isBegun }
+        val timely = timeline(now).timelyJobs(fresh, begun.sumOf { it.waiting.size })
         val late = fresh.filter { it !in timely }
             .sortedWith(compareBy({ it.spec.stagesLeft }, { it.spec.rank }, { it.sequence }))
         val urgent = begun.sortedBy { it.aimMs } + timely.sortedBy { it.aimMs }
         return if (urgent.isEmpty() && !mayStartLate(late, now)) emptyList() else urgent + late
     }
 
-    private fun nextItems(target: Target, order: List<Job>, now: Long): List<Item> {
-        val call = CallFill(roomAt(target, now))
+    private fun nextItems(target: PoolTarget, order: List<QueuedJob>, now: Long): List<QueuedPiece> {
+        val call = CallFill(spec, target.roomBytes(spec, now))
         for (job in order) {
             if (call.places == 0) break
             if (!mayWaitForNear(job, target, now)) call.add(job)
@@ -397,48 +340,16 @@
         return if (mayWaitForRoom(call, target, order, now)) emptyList() else call.items
     }
 
-    private fun roomAt(target: Target, now: Long): Long =
-        (spec.roomBytes * ROOM_SHARE).toLong() - target.usedBytes - foreignBytes(target, now)
-
-    /** Results of other owners are freed one after the other; what is left of them is found out by trying. */
-    private fun foreignBytes(target: Target, now: Long): Long =
-        maxOf(0, target.foreignBytes * (FOREIGN_LIFE_MS - (now - target.foreignSinceMs)) / FOREIGN_LIFE_MS)
-
     /** A call that lack of room keeps small is better started once results in the way are freed. */
-    private fun mayWaitForRoom(call: CallFill, target: Target, order: List<Job>, now: Long): Boolean {
-        if (!call.lacksRoom || target.usedBytes + foreignBytes(target, now) == 0L) return false
+    private fun mayWaitForRoom(call: CallFill, target: PoolTarget, order: List<QueuedJob>, now: Long): Boolean {
+        if (!call.lacksRoom || target.usedBytes + target.foreignBytes(now) == 0L) return false
         val isSmall = call.items.size * SMALL_CALL_SHARE < minOf(waiting, spec.maxPieces)
         val isPatient = order.firstOrNull()?.let { now - it.addedMs < ROOM_PATIENCE_MS } ?: true
         return isSmall && isPatient
     }
 
-    /** A call as it is filled, for a target with [room] bytes for results. */
-    private inner class CallFill(private var room: Long) {
-        val items = ArrayList<Item>()
-        val places: Int get() = spec.maxPieces - items.size
-        var lacksRoom = false
-            private set
-
-        fun add(job: Job) {
-            val fitting = if (job.spec.resultBytes == 0L) Int.MAX_VALUE else (room / job.spec.resultBytes).toInt()
-            val count = minOf(places, fitting, job.waiting.size)
-            if (fitting < minOf(places, job.waiting.size)) lacksRoom = true
-            val isSplit = count < job.waiting.size
-            if (count <= 0 || (isSplit && !mayBeSplit(job, fitting))) return
-            items += job.waiting.take(count)
-            room -= count * job.spec.resultBytes
-        }
-
-        /** Half a job holds room that others need, so a job is not split for lack of room. */
-        private fun mayBeSplit(job: Job, fitting: Int): Boolean {
-            val isTooLarge = job.spec.pieces.size > spec.maxPieces ||
-                job.spec.pieces.size * job.spec.resultBytes > spec.roomBytes * ROOM_SHARE
-            return job.isBegun || isTooLarge || fitting >= places
-        }
-    }
-
     /** Whether [job] has the time to wait for a target beside the consumer of its large results. */
-    private fun mayWaitForNear(job: Job, target: Target, now: Long): Boolean {
+    private fun mayWaitForNear(job: QueuedJob, target: PoolTarget, now: Long): Boolean {
         val wanted = job.spec.dataCentre ?: return false
         if (wanted == target.entry.dataCentre || job.isBegun || waiting > spec.maxPieces) return false
         val near = usableTargets(now).filter { it.entry.dataCentre == wanted && it.slowness <= SLOW_FACTOR }
@@ -448,49 +359,18 @@
     }
 
     /** Late jobs alone start a call only when a job that is in time would still find a free target. */
-    private fun mayStartLate(late: List<Job>, now: Long): Boolean {
+    private fun mayStartLate(late: List<QueuedJob>, now: Long): Boolean {
         val free = usableTargets(now).count { it.calls < spec.slots }
         return free > 1 || late.sumOf { it.waiting.size } >= spec.maxPieces ||
             late.any { now - it.addedMs >= LATE_PATIENCE_MS }
     }
 
-    /**
-     * Returns the jobs that the pool can finish in time. Jobs are scheduled by the time at which they have to be done;
-     * whenever one would be late, the lowest rank of those scheduled so far is left out, the newest first.
-     */
-    private fun timelyJobs(queued: List<Job>, ahead: Int, now: Long): Set<Job> {
-        val freeMs = usableTargets(now).map { freeAtMs(it, now) }.sorted()
-        if (freeMs.isEmpty()) return emptySet()
-        val timely = LinkedHashSet<Job>()
-        var pieces = ahead
-        for (job in queued.sortedBy { it.aimMs }) {
-            timely += job
-            pieces += job.waiting.size
-            if (finishMs(pieces, freeMs) <= job.aimMs) continue
-            val leftOut = timely.maxWith(compareBy({ it.spec.rank }, { it.sequence }))
-            timely -= leftOut
-            pieces -= leftOut.waiting.size
-        }
-        return timely
-    }
-
-    /** Time of a call with [pieces] as calls took lately, with the way there and back. */
-    private fun usualMs(pieces: Int) = spec.expectedMs(pieces) + extraMs
-
-    private fun freeAtMs(target: Target, now: Long): Double {
+    private fun freeAtMs(target: PoolTarget, now: Long): Double {
         val run = running.values.firstOrNull { it.target === target } ?: return now.toDouble()
         return maxOf(now.toDouble(), run.startedMs + extraMs + run.expectedMs * maxOf(1.0, target.slowness))
     }
 
-    /** When the last of [pieces] is done if full calls start as targets get free. */
-    private fun finishMs(pieces: Int, freeMs: List<Double>): Double {
-        val call = (pieces - 1) / spec.maxPieces
-        val rounds = call / freeMs.size
-        val start = freeMs[call % freeMs.size] + rounds * usualMs(spec.maxPieces)
-        return start + usualMs(pieces - call * spec.maxPieces)
-    }
-
-    private fun start(target: Target, items: List<Item>, now: Long) {
+    private fun start(target: PoolTarget, items: List<QueuedPiece>, now: Long) {
         target.calls++
         items.forEach {
             it.job.waiting -= it
