Test the whole path of a forwarded request over sockets, with stand-ins of the platform

Change: a stand-in of the store and of targets, and three cases: requests of two hosts that share stage calls, with the results of each handed to its engine alone; declarations before, at and after a change of keys and with the store away; a planned stop. The first fails when one result of a request is held back (tried on a scratch copy).

--- /dev/null
+++ b/src/test/kotlin/front/FrontHostSpec.kt
@@ -0,0 +1,229 @@
+/*
+ * The whole path of a forwarded request over real sockets: two hosts, the platform's store, targets of a stage and an
+ * engine, all stand-ins of the platform on this machine.
+ */
+package org.sesamerouter.front
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import io.netty.buffer.ByteBuf
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.jsonPrimitive
+import org.sesamerouter.clock.systemClock
+import org.sesamerouter.platform.FrontSettings
+import org.sesamerouter.web.AnswerListener
+import org.sesamerouter.web.ForwardClient
+import org.sesamerouter.web.OutgoingRequest
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+
+private const val PATIENCE_S = 30L
+private val PATIENCE = PATIENCE_S.seconds
+
+private fun declarations(version: Int, keys: String) = """
+    {"version":$version,"routes":[
+      {"name":"plan","host":"shop.example","path-prefix":"/plan/","kind":"streaming","timeout-ms":9000,
+       "target-latency-ms":4000,"priority":0,"service":"model","max-attempts":2,"public":false,"sticky":true,
+       "stages":[{"service":"stock","after":[],"bytes":8000}],"resumable":true,"gap-aim-ms":400},
+      {"name":"book","host":"shop.example","path-prefix":"/book/","kind":"unsafe","timeout-ms":5000,
+       "target-latency-ms":1000,"priority":1,"service":"desk","max-attempts":1,"public":false}],
+     "services":[
+      {"name":"model","health-path":"/health","max-conns":64,"engine":{"slots":64,"kv-capacity":600000}},
+      {"name":"desk","health-path":"/health","max-conns":64},
+      {"name":"stock","health-path":"/health","max-conns":64,
+       "pieces":{"slots":1,"queue":2,"batch":8,"call-ms":30.0,"item-ms":1.0,"headroom-mb":8.0}}],
+     "tenants":[{"name":"choir","api-keys":[$keys],"priority":1}],
+     "limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":5000,"idle-timeout-ms":9000}}
+""".trimIndent()
+
+private fun entry(service: String, address: String) = """
+    {"service":"$service","address":"$address","zone":"west","version":"v1","slots":6,"state":"ready",
+     "cold-left-ms":0,"seq-no":4,"born":1780900284873}
+""".trimIndent()
+
+private data class Answer(val status: Int, val body: String)
+
+private class Collector : AnswerListener {
+    val answer = CompletableFuture<Answer>()
+    private var status = 0
+    private val body = StringBuilder()
+
+    override fun onHead(status: Int, headers: HttpHeaders) {
+        this.status = status
+    }
+
+    override fun onBody(content: ByteBuf) {
+        body.append(content.toString(Charsets.UTF_8))
+    }
+
+    override fun onEnd() {
+        answer.complete(Answer(status, body.toString()))
+    }
+
+    override fun onFailed(sent: Boolean, cause: String) {
+        answer.complete(Answer(0, cause))
+    }
+}
+
+private class Site : AutoCloseable {
+    val platform = PlatformStandin()
+    private val storeAddress = platform.storeAddress()
+    private val hosts = ArrayList<FrontHost>()
+    private val settings = ArrayList<FrontSettings>()
+    private val running = LinkedHashSet<Int>()
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next() as EventLoop
+    private val client = ForwardClient(loop, systemClock())
+
+    fun declare(version: Int, keys: String) {
+        platform.store.put("keyed.op", "config", declarations(version, keys))
+    }
+
+    fun register(id: String, service: String, address: String) {
+        platform.store.put("keyed.servers", id, entry(service, address))
+    }
+
+    fun startHost() {
+        val link = freeAddress()
+        val own = FrontSettings(
+            name = "host-${hosts.size}", ip = "127.0.0.1", dataCentre = "west", requestAddress = freeAddress(),
+            readyAddress = freeAddress(), addressAddress = freeAddress(), linkAddress = link,
+            seedAddresses = settings.map { it.linkAddress } + link, storeAddress = storeAddress, graceMs = 8_000,
+            addressLifeMs = 2_000, retryShare = 0.1, retrySlack = 10.0,
+        )
+        settings += own
+        hosts += startFrontHost(own)
+        running += hosts.lastIndex
+    }
+
+    fun stop(host: Int) {
+        running -= host
+        hosts[host].stop()
+    }
+
+    fun readiness(host: Int): Int = ask(settings[host].readyAddress, "GET", "/v1/ready").get().status
+
+    fun addresses(host: Int): String =
+        ask(settings[host].addressAddress, "GET", "/v1/resolve?name=shop.example&region=r&zone=west").get().body
+
+    fun requestAddress(host: Int) = settings[host].requestAddress
+
+    fun ask(host: Int, path: String, id: String, key: String = "k1", pieces: Int = 0): CompletableFuture<Answer> {
+        val headers = DefaultHttpHeaders().set("Host", "shop.example").set("Request-Id", id)
+            .set("Deadline-Ms", "8000").set("Authorization", "Bearer $key").set("Tenant", "forged")
+            .set("Pieces", "$pieces").set("Piece-Key", "key of $id").set("Prefix-Hash", "ab:10,cd:5")
+        return ask(settings[host].requestAddress, "POST", path, headers, "body of $id")
+    }
+
+    private fun ask(
+        address: String,
+        method: String,
+        path: String,
+        headers: HttpHeaders = DefaultHttpHeaders().set("Host", address),
+        body: String = "",
+    ): CompletableFuture<Answer> {
+        val collector = Collector()
+        loop.execute { client.send(address, OutgoingRequest(method, path, headers, body.toByteArray()), collector) }
+        return collector.answer.orTimeout(PATIENCE_S, TimeUnit.SECONDS)
+    }
+
+    override fun close() {
+        running.forEach { hosts[it].stop() }
+        platform.close()
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+    }
+}
+
+private fun Site.awaitReady(hosts: Int) {
+    runBlocking {
+        eventually(PATIENCE) {
+            for (host in 0 until hosts) {
+                readiness(host) shouldBe 200
+                (0 until hosts).forEach { addresses(host) shouldContain requestAddress(it) }
+            }
+        }
+    }
+}
+
+class FrontHostSpec :
+    FunSpec({
+        test("requests of two hosts share stage calls, and each engine gets the results of its own request alone") {
+            Site().use { site ->
+                site.declare(1, "\"k1\"")
+                repeat(2) { site.register("s$it", "stock", site.platform.stageTarget()) }
+                site.register("m0", "model", site.platform.answeringTarget())
+                repeat(2) { site.startHost() }
+                site.awaitReady(2)
+                val asked = (0 until 40).map { it to site.ask(it % 2, "/plan/x", "id$it", pieces = 2) }
+                for ((number, answer) in asked) {
+                    answer.get() shouldBe Answer(200, "answer to id$number: body of id$number")
+                }
+                val runs = site.platform.runs.toList()
+                runs.map { it["request-id"] } shouldContainExactlyInAnyOrder (0 until 40).map { "id$it" }
+                val made = site.platform.made.groupBy({ it.first }, { it.second })
+                for (run in runs) {
+                    val own = made.getValue(checkNotNull(run["request-id"]))
+                    run["inputs"].orEmpty().split(",") shouldContainExactlyInAnyOrder own
+                    run["tenant"] shouldBe "choir"
+                    run["authorization"].shouldBeNull()
+                }
+                val items = site.platform.stageCalls.flatten()
+                items shouldHaveSize 80
+                for (item in items) {
+                    item.getValue("key").jsonPrimitive.content shouldBe
+                        "key of ${item.getValue("id").jsonPrimitive.content}"
+                }
+                site.platform.stageCalls.size shouldBeLessThan 40
+            }
+        }
+
+        test("before declarations are known the answer is 503, then a key counts from its version on, store or not") {
+            Site().use { site ->
+                site.register("d0", "desk", site.platform.answeringTarget())
+                site.startHost()
+                runBlocking { eventually(PATIENCE) { site.ask(0, "/book/x", "early").get().status shouldBe 503 } }
+                site.declare(1, "\"k1\"")
+                site.awaitReady(1)
+                site.ask(0, "/book/x", "a").get() shouldBe Answer(200, "answer to a: body of a")
+                site.ask(0, "/book/x", "b", key = "k2").get().status shouldBe 401
+                site.ask(0, "/none/x", "c").get().status shouldBe 404
+                site.declare(2, "\"k2\"")
+                runBlocking {
+                    eventually(PATIENCE) { site.ask(0, "/book/x", "d", key = "k2").get().status shouldBe 200 }
+                }
+                site.ask(0, "/book/x", "e", key = "k1").get().status shouldBe 401
+                site.platform.store.isDown = true
+                site.ask(0, "/book/x", "f", key = "k2").get().status shouldBe 200
+                site.platform.runs.count { it["request-id"] == "e" } shouldBe 0
+            }
+        }
+
+        test("a host that is stopped ends what it took, and leaves the address answers of the other") {
+            Site().use { site ->
+                site.declare(1, "\"k1\"")
+                repeat(2) { site.register("s$it", "stock", site.platform.stageTarget()) }
+                site.register("m0", "model", site.platform.answeringTarget())
+                repeat(2) { site.startHost() }
+                site.awaitReady(2)
+                val asked = (0 until 20).map { site.ask(it % 2, "/plan/x", "id$it", pieces = 2) }
+                site.stop(0)
+                asked.forEach { it.get().status shouldBeIn listOf(200, 503) }
+                site.addresses(1) shouldNotContain site.requestAddress(0)
+                site.ask(1, "/plan/x", "after", pieces = 2).get().status shouldBe 200
+            }
+        }
+    })
