Share the collector of answers between tests, and split two large test files

Change: web/Collector serves both; pipelineSite starts the site; fixtures and models of the two specs have files of their own. No assertion changed; FrontHostSpec now compares the whole outcome of a call.

--- a/src/test/kotlin/front/FrontHostSpec.kt
+++ b/src/test/kotlin/front/FrontHostSpec.kt
@@ -24,9 +24,10 @@
 import kotlinx.serialization.json.jsonPrimitive
 import org.sesamerouter.clock.systemClock
 import org.sesamerouter.platform.FrontSettings
-import org.sesamerouter.web.AnswerListener
+import org.sesamerouter.web.Collector
 import org.sesamerouter.web.ForwardClient
 import org.sesamerouter.web.OutgoingRequest
+import org.sesamerouter.web.Seen
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
@@ -55,30 +56,6 @@
      "cold-left-ms":0,"seq-no":4,"born":1780900284873}
 """.trimIndent()
 
-private data class Answer(val status: Int, val body: String)
-
-private class Collector : AnswerListener {
-    val answer = CompletableFuture<Answer>()
-    private var status = 0
-    private val body = StringBuilder()
-
-    override fun onHead(status: Int, headers: HttpHeaders) {
-        this.status = status
-    }
-
-    override fun onBody(content: ByteBuf) {
-        body.append(content.toString(Charsets.UTF_8))
-    }
-
-    override fun onEnd() {
-        answer.complete(Answer(status, body.toString()))
-    }
-
-    override fun onFailed(sent: Boolean, cause: String) {
-        answer.complete(Answer(0, cause))
-    }
-}
-
 private class Site : AutoCloseable {
     val platform = PlatformStandin()
     private val storeAddress = platform.storeAddress()
@@ -122,7 +99,7 @@
 
     fun requestAddress(host: Int) = settings[host].requestAddress
 
-    fun ask(host: Int, path: String, id: String, key: String = "k1", pieces: Int = 0): CompletableFuture<Answer> {
+    fun ask(host: Int, path: String, id: String, key: String = "k1", pieces: Int = 0): CompletableFuture<Seen> {
         val headers = DefaultHttpHeaders().set("Host", "shop.example").set("Request-Id", id)
             .set("Deadline-Ms", "8000").set("Authorization", "Bearer $key").set("Tenant", "forged")
             .set("Pieces", "$pieces").set("Piece-Key", "key of $id").set("Prefix-Hash", "ab:10,cd:5")
@@ -135,10 +112,10 @@
         path: String,
         headers: HttpHeaders = DefaultHttpHeaders().set("Host", address),
         body: String = "",
-    ): CompletableFuture<Answer> {
+    ): CompletableFuture<Seen> {
         val collector = Collector()
         loop.execute { client.send(address, OutgoingRequest(method, path, headers, body.toByteArray()), collector) }
-        return collector.answer.orTimeout(PATIENCE_S, TimeUnit.SECONDS)
+        return collector.seen.orTimeout(PATIENCE_S, TimeUnit.SECONDS)
     }
 
     override fun close() {
@@ -148,6 +125,17 @@
     }
 }
 
+private fun whole(body: String) = Seen(200, body, failure = null, sent = true)
+
+/** A ready site of two hosts, two targets of the stage and one engine. */
+private fun pipelineSite() = Site().apply {
+    declare(1, "\"k1\"")
+    repeat(2) { register("s$it", "stock", platform.stageTarget()) }
+    register("m0", "model", platform.answeringTarget())
+    repeat(2) { startHost() }
+    awaitReady(2)
+}
+
 private fun Site.awaitReady(hosts: Int) {
     runBlocking {
         eventually(PATIENCE) {
@@ -162,15 +150,10 @@
 class FrontHostSpec :
     FunSpec({
         test("requests of two hosts share stage calls, and each engine gets the results of its own request alone") {
-            Site().use { site ->
-                site.declare(1, "\"k1\"")
-                repeat(2) { site.register("s$it", "stock", site.platform.stageTarget()) }
-                site.register("m0", "model", site.platform.answeringTarget())
-                repeat(2) { site.startHost() }
-                site.awaitReady(2)
+            pipelineSite().use { site ->
                 val asked = (0 until 40).map { it to site.ask(it % 2, "/plan/x", "id$it", pieces = 2) }
                 for ((number, answer) in asked) {
-                    answer.get() shouldBe Answer(200, "answer to id$number: body of id$number")
+                    answer.get() shouldBe whole("answer to id$number: body of id$number")
                 }
                 val runs = site.platform.runs.toList()
                 runs.map { it["request-id"] } shouldContainExactlyInAnyOrder (0 until 40).map { "id$it" }
@@ -198,7 +181,7 @@
                 runBlocking { eventually(PATIENCE) { site.ask(0, "/book/x", "early").get().status shouldBe 503 } }
                 site.declare(1, "\"k1\"")
                 site.awaitReady(1)
-                site.ask(0, "/book/x", "a").get() shouldBe Answer(200, "answer to a: body of a")
+                site.ask(0, "/book/x", "a").get() shouldBe whole("answer to a: body of a")
                 site.ask(0, "/book/x", "b", key = "k2").get().status shouldBe 401
                 site.ask(0, "/none/x", "c").get().status shouldBe 404
                 site.declare(2, "\"k2\"")
@@ -213,12 +196,7 @@
         }
 
         test("a host that is stopped ends what it took, and leaves the address answers of the other") {
-            Site().use { site ->
-                site.declare(1, "\"k1\"")
-                repeat(2) { site.register("s$it", "stock", site.platform.stageTarget()) }
-                site.register("m0", "model", site.platform.answeringTarget())
-                repeat(2) { site.startHost() }
-                site.awaitReady(2)
+            pipelineSite().use { site ->
                 val asked = (0 until 20).map { site.ask(it % 2, "/plan/x", "id$it", pieces = 2) }
                 site.stop(0)
                 asked.forEach { it.get().status shouldBeIn listOf(200, 503) }
--- /dev/null
+++ b/src/test/kotlin/serving/FlowModels.kt
@@ -0,0 +1,238 @@
+/*
+ * What the cases of forwarded requests are made of, and their model: random events with what ran.
+ */
+package org.sesamerouter.serving
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import org.sesamerouter.batching.JobFailure
+import org.sesamerouter.batching.JobOutcome
+import org.sesamerouter.discovery.TargetEntry
+import org.sesamerouter.engine.EngineTable
+import org.sesamerouter.histories
+import org.sesamerouter.pipeline.Budget
+import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.routing.PlainTargets
+import org.sesamerouter.web.RequestLimits
+import kotlin.random.Random
+
+internal fun target(id: String, service: String) =
+    TargetEntry(id, service, "10.0.0.${id.last()}:80", "a", 4, isDraining = false, bornMs = 1)
+
+internal val STAGES = listOf(
+    StageSpec("stock", emptyList(), 800_000),
+    StageSpec("stock", emptyList(), 8_000),
+    StageSpec("rank", listOf(1), 60_000),
+)
+
+internal fun route(
+    kind: RouteKind,
+    resumable: Boolean = false,
+    attempts: Int = 2,
+    stages: List<StageSpec> = emptyList(),
+) = Route(
+    "r", "shop.example", "/a/", kind, resumable, timeoutMs = 10_000, aimMs = 2_000, rank = 1,
+    shares = listOf(
+        ServiceShare("model", 1),
+    ),
+    maxAttempts = attempts, stages = stages, isPublic = false, gapAimMs = 400,
+)
+
+internal class FixedSurroundings : FlowSurroundings {
+    var busyMs = 0.0
+    var targets = listOf(target("m1", "model"), target("m2", "model"), target("m3", "model"))
+    override val config = ServingConfig(
+        1,
+        emptyList(),
+        mapOf("model" to ServiceSpec("model", "/health", 64, null, EngineSpec(8, 100_000))),
+        emptyList(),
+        RequestLimits(),
+    )
+
+    override fun targets(service: String) = targets
+
+    override fun dataCentreOf(address: String): String? = "a"
+
+    override fun connectionShare(service: String) = 8
+
+    override fun stageMs(service: String, rank: Int, dueMs: Long) = 300.0 + busyMs
+
+    override fun idleStageMs(service: String) = 300.0
+}
+
+internal class Host(budget: () -> Budget = { Budget(1.0, 100.0) }) {
+    val surroundings = FixedSurroundings()
+    private val engines = EngineTable().also { it.update(surroundings.targets) }
+    val quarantine = Quarantine(deathsToQuarantine = 3)
+    val flows = RequestFlows(surroundings, engines, PlainTargets(), quarantine, "a", budget)
+    var now = 0L
+
+    fun handle(event: FlowEvent) = flows.handle(event, now)
+
+    fun arrive(
+        route: Route,
+        pieces: List<Int> = emptyList(),
+        flow: Long = 1,
+        deadlineMs: Long = 10_000,
+        waitMs: Long = deadlineMs,
+    ) = handle(
+        FlowEvent.Arrived(
+            ForwardRequest(
+                flow, "id$flow", route, "model", route.rank, now, now + deadlineMs, waitMs, pieces, "key",
+                fingerprint = "f$flow",
+            ),
+        ),
+    )
+}
+
+internal fun List<FlowEffect>.jobs() = filterIsInstance<FlowEffect.RunStage>().map { it.job }
+
+internal fun List<FlowEffect>.sends() = filterIsInstance<FlowEffect.Send>()
+
+internal fun List<FlowEffect>.rejects() = filterIsInstance<FlowEffect.Reject>()
+
+/** Random events for a few requests; the model keeps which sends may have run and which results exist. */
+internal class FlowHistory(private val random: Random) {
+    private val host = Host { Budget(0.5, 3.0) }
+    private val routes = HashMap<Long, Route>()
+    private val jobs = HashMap<String, Pair<Long, Int>>()
+    private val sends = HashMap<SendId, FlowEffect.Send>()
+    private val begun = HashSet<Long>()
+    private val mayHaveRun = HashSet<Long>()
+    private val runs = HashMap<Long, Int>()
+    private val results = HashMap<String, Long>()
+    private val ended = HashSet<Long>()
+    private var sequence = 0
+
+    fun run() {
+        repeat(50) {
+            host.now += random.nextLong(200)
+            step()
+        }
+        host.now += 100_000
+        take(host.handle(FlowEvent.Tick))
+        ended shouldBe routes.keys
+        host.flows.inProgress shouldBe 0
+        results.keys.shouldBeEmpty()
+    }
+
+    private fun step() {
+        when (random.nextInt(6)) {
+            0 -> arrive()
+            1, 2 -> jobs.keys.randomOrNull(random)?.let(::endJob)
+            3, 4 -> sends.keys.randomOrNull(random)?.let(::endSend)
+            else -> if (random.nextInt(5) == 0) leave() else host.surroundings.busyMs = random.nextDouble(0.0, 2_500.0)
+        }
+        take(host.handle(FlowEvent.Tick))
+    }
+
+    private fun arrive() {
+        val flow = routes.size + 1L
+        val kind = RouteKind.entries.random(random)
+        val stages = if (random.nextBoolean()) STAGES else emptyList()
+        routes[flow] = route(kind, kind == RouteKind.STREAM && random.nextBoolean(), random.nextInt(1, 4), stages)
+        val pieces = stages.map { random.nextInt(0, 4) }
+        take(host.arrive(routes.getValue(flow), pieces, flow, random.nextLong(100, 9_000)))
+    }
+
+    private fun leave() {
+        val flow = routes.keys.filter { it !in ended }.randomOrNull(random) ?: return
+        take(host.handle(FlowEvent.CallerLeft(flow)))
+    }
+
+    private fun endJob(job: String) {
+        val (flow, count) = jobs.remove(job) ?: return
+        val outcome = when (random.nextInt(8)) {
+            0 -> JobOutcome(failure = JobFailure.INPUT_GONE)
+            1 -> JobOutcome(failure = JobFailure.FAILED)
+            else -> JobOutcome(List(count) { "10.0.0.9:80/${sequence++}" })
+        }
+        outcome.handles.forEach { results[it] = flow }
+        take(host.handle(FlowEvent.StageEnded(job, outcome)))
+    }
+
+    private fun endSend(id: SendId) {
+        val isBegun = id.flow in begun && sends.keys.count { it.flow == id.flow } == 1 && beganWith[id.flow] == id
+        if (!isBegun && random.nextInt(3) == 0) {
+            begun += id.flow
+            beganWith[id.flow] = id
+            ran(id.flow)
+            take(host.handle(FlowEvent.AnswerBegan(id, null)))
+            return
+        }
+        sends.remove(id)
+        if (isBegun) {
+            val event = if (random.nextInt(3) == 0) {
+                FlowEvent.SendFailed(id, SendFailure.Broken(random.nextBoolean(), "3", "reset"))
+            } else {
+                FlowEvent.AnswerEnded(id, 200)
+            }
+            take(host.handle(event))
+            return
+        }
+        val failure = when (random.nextInt(5)) {
+            0 -> SendFailure.NotSent("refused")
+            1 -> SendFailure.NotRun(503)
+            2 -> SendFailure.NotRun(409)
+            3 -> SendFailure.FailedAnswer(500).also { ran(id.flow) }
+            else -> SendFailure.Lost("reset").also { ran(id.flow) }
+        }
+        take(host.handle(FlowEvent.SendFailed(id, failure)))
+    }
+
+    private val beganWith = HashMap<Long, SendId>()
+
+    private fun ran(flow: Long) {
+        mayHaveRun += flow
+        val count = runs.merge(flow, 1, Int::plus)!!
+        val route = routes.getValue(flow)
+        if (!route.isIdempotent) count shouldBe 1
+        check(count <= route.maxAttempts) { "request $flow ran at $count targets" }
+    }
+
+    private fun take(effects: List<FlowEffect>) {
+        for (effect in effects) {
+            when (effect) {
+                is FlowEffect.RunStage -> jobs[effect.job.job] =
+                    effect.job.request.drop(2).toLong() to effect.job.pieces.size
+
+                is FlowEffect.CancelStage -> jobs.remove(effect.job)
+
+                is FlowEffect.FreeResults -> effect.handles.forEach {
+                    check(results.remove(it) != null) { "$it freed twice" }
+                }
+
+                is FlowEffect.Send -> onSend(effect)
+
+                is FlowEffect.CancelSend -> sends.remove(effect.send)
+
+                is FlowEffect.Reject -> onReject(effect)
+
+                is FlowEffect.Ended -> check(ended.add(effect.flow)) { "request ${effect.flow} ended twice" }
+
+                else -> Unit
+            }
+        }
+    }
+
+    private fun onSend(send: FlowEffect.Send) {
+        check(sends.keys.none { it.flow == send.send.flow }) { "two sends at a time" }
+        send.inputs.forEach { results.getValue(it) shouldBe send.send.flow }
+        sends[send.send] = send
+    }
+
+    private fun onReject(reject: FlowEffect.Reject) {
+        val wasSent = sends.keys.any { it.flow == reject.flow }
+        if (reject.status == 503) check(reject.flow !in mayHaveRun && !wasSent) { "an untrue 'not run'" }
+        check(reject.flow !in begun) { "a second answer" }
+    }
+}
--- a/src/test/kotlin/web/ForwardSpec.kt
+++ b/src/test/kotlin/web/ForwardSpec.kt
@@ -24,31 +24,6 @@
 
 private const val PATIENCE_S = 20L
 
-/** What a call ended with. */
-private data class Seen(val status: Int, val body: String, val failure: String?, val sent: Boolean)
-
-private class Collector : AnswerListener {
-    val seen = CompletableFuture<Seen>()
-    private var status = 0
-    private val body = StringBuilder()
-
-    override fun onHead(status: Int, headers: HttpHeaders) {
-        this.status = status
-    }
-
-    override fun onBody(content: ByteBuf) {
-        body.append(content.toString(Charsets.UTF_8))
-    }
-
-    override fun onEnd() {
-        seen.complete(Seen(status, body.toString(), null, true))
-    }
-
-    override fun onFailed(sent: Boolean, cause: String) {
-        seen.complete(Seen(status, body.toString(), cause, sent))
-    }
-}
-
 /** A target that answers each connection with the scripted bytes, one script an accepted connection. */
 private class ScriptedTarget(private val scripts: List<(Socket) -> Unit>) : AutoCloseable {
     private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
