Split what a stage asks of its pool from the way of a request

Change: StagePlan makes the jobs of stages and says where results are best made; a flow hands out its own results. No change of behaviour.

--- a/src/main/kotlin/serving/Flow.kt
+++ b/src/main/kotlin/serving/Flow.kt
@@ -45,6 +45,25 @@
 
     /** Returns how many stages follow [stage] on the longest way. */
     fun stagesAfter(stage: Int): Int = nextStages(stage).maxOfOrNull { 1 + stagesAfter(it) } ?: 0
+
+    /** Results of the stages that no other stage follows. */
+    fun finalHandles(): List<String> = handles.filterNotNull().flatten()
+
+    /** Takes out the results whose every consumer among the stages is done. */
+    fun releaseConsumed(): List<FlowEffect> = release { number ->
+        val consumers = nextStages(number)
+        consumers.isNotEmpty() && consumers.all { handles[it] != null }
+    }
+
+    /** Takes out all results. */
+    fun releaseAll(): List<FlowEffect> = release { true }
+
+    private fun release(isOver: (Int) -> Boolean): List<FlowEffect> = handles.indices.mapNotNull { number ->
+        val held = handles[number].orEmpty()
+        if (held.isEmpty() || !isOver(number)) return@mapNotNull null
+        handles[number] = emptyList()
+        FlowEffect.FreeResults(request.route.stages[number].service, held)
+    }
 }
 
 /** One send of a request. */
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -6,11 +6,7 @@
 
 import org.sesamerouter.batching.JobFailure
 import org.sesamerouter.batching.JobOutcome
-import org.sesamerouter.batching.Piece
-import org.sesamerouter.batching.StageJob
-import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.engine.EngineTable
-import org.sesamerouter.engine.Prompt
 import org.sesamerouter.pipeline.Budget
 import org.sesamerouter.quarantine.CrashWatch
 import org.sesamerouter.quarantine.Quarantine
@@ -24,9 +20,7 @@
 private const val RETURNED_WAIT_PART = 6 // of the time left: refused twice is worse than late
 private const val MAX_IN_LANE = 24 // what the pools catch up with within a caller's deadline after a burst
 private const val MAX_FROM_LANE = 2 // of one host at a time, so that all hosts together do not flood the pools
-private const val LARGE_BYTES = 200_000L // fewer cost little on the way to another data centre
 private const val FETCH_MS = 120L // an engine without a queue fetches inputs within some ms
-private const val RESUME_AIM_MS = 800L // callers give up a stream that stands still for some seconds
 private const val LEAST_SEND_MS = 20L // a send with less time left only wastes the target's work
 private const val FIRST_FAULT_STATUS = 500
 private const val NOT_RUN_STATUS = 503
@@ -48,6 +42,7 @@
     private val budgets = HashMap<String, Budget>()
     private val effects = ArrayList<FlowEffect>()
     private val times = ChainTimes(surroundings)
+    private val plan = StagePlan(surroundings, engines, times)
     private val waits = CallerWaits()
     private val crashes = CrashWatch()
     private val lane = LateLane(MAX_IN_LANE)
@@ -137,70 +132,19 @@
     }
 
     private fun startStage(flow: Flow, number: Int, now: Long) {
-        val request = flow.request
-        val stage = request.route.stages[number]
-        val inputs = stage.after.flatMap { flow.handles[it].orEmpty() }
-        val key = if (inputs.isEmpty()) request.pieceKey else null
-        val rest = times.restMs(flow, number)
-        val job = StageJob(
-            job = "${request.id}/$number/${jobSequence++}",
-            request = request.id,
-            service = stage.service,
-            stage = number,
-            pieces = List(flow.piecesOf(number)) { Piece(it, key, inputs) },
-            resultBytes = stage.resultBytes,
-            rank = flow.rank,
-            aimLeftMs = if (flow.isBegun) RESUME_AIM_MS else flow.askedMs + request.route.aimMs - rest - now,
-            deadlineLeftMs = request.deadlineMs - rest / 2 - now,
-            stagesLeft = flow.stagesAfter(number),
-            dataCentre = nearestDataCentre(flow, number, inputs, now),
-            hasWorkBehind = flow.handles.any { it != null },
-        )
+        val job = plan.jobOf(flow, number, "${flow.request.id}/$number/${jobSequence++}", now)
         flow.jobs[job.job] = number
         flowOfJob[job.job] = flow
         effects += FlowEffect.RunStage(job)
     }
 
-    /** Returns where most bytes of [stage] come from or go to, if they are many; null when it hardly matters. */
-    private fun nearestDataCentre(flow: Flow, stage: Int, inputs: List<String>, now: Long): String? {
-        val read = bytesByDataCentre(flow).filterKeys { it in inputs.mapNotNull(::placeOf) }
-        val readBytes = read.values.sum() * flow.piecesOf(stage)
-        val madeBytes = flow.request.route.stages[stage].resultBytes * flow.piecesOf(stage)
-        return when {
-            maxOf(readBytes, madeBytes) < LARGE_BYTES -> null
-            readBytes >= madeBytes -> read.maxBy { it.value }.key
-            else -> readerOf(flow, stage, now)
-        }
-    }
-
-    /** Returns the data centre of the engine that would take the request now, if it reads the results of [stage]. */
-    private fun readerOf(flow: Flow, stage: Int, now: Long): String? {
-        val request = flow.request
-        val isEngine = surroundings.config?.services?.get(request.service)?.engine != null
-        if (!isEngine || flow.nextStages(stage).isNotEmpty()) return null
-        return engines.choose(surroundings.targets(request.service), promptOf(flow), now)?.dataCentre
-    }
-
-    private fun placeOf(handle: String): String? = surroundings.dataCentreOf(handle.substringBefore('/'))
-
-    private fun bytesByDataCentre(flow: Flow): Map<String, Long> {
-        val stages = flow.request.route.stages
-        val bytes = HashMap<String, Long>()
-        for (number in stages.indices) {
-            for (handle in flow.handles[number].orEmpty()) {
-                placeOf(handle)?.let { bytes.merge(it, stages[number].resultBytes, Long::plus) }
-            }
-        }
-        return bytes
-    }
-
     private fun onStageEnded(event: FlowEvent.StageEnded, now: Long) {
         val flow = flowOfJob.remove(event.job) ?: return
         val number = flow.jobs.remove(event.job) ?: return
         val failure = event.outcome.failure
         if (failure == null) {
             flow.handles[number] = event.outcome.handles
-            freeConsumed(flow)
+            effects += flow.releaseConsumed()
             startStages(flow, now)
         } else {
             onStageFailed(flow, failure, now)
@@ -223,18 +167,6 @@
         startStages(flow, now)
     }
 
-    /** Frees results whose every consumer among the stages is done. */
-    private fun freeConsumed(flow: Flow) {
-        val stages = flow.request.route.stages
-        for (number in stages.indices) {
-            val handles = flow.handles[number] ?: continue
-            val consumers = flow.nextStages(number)
-            if (handles.isEmpty() || consumers.isEmpty() || consumers.any { flow.handles[it] == null }) continue
-            effects += FlowEffect.FreeResults(stages[number].service, handles)
-            flow.handles[number] = emptyList()
-        }
-    }
-
     private fun send(flow: Flow, now: Long) {
         val request = flow.request
         startedFromLane -= request.flow
@@ -244,8 +176,8 @@
             return
         }
         val candidates = surroundings.targets(request.service)
-        val prompt = promptOf(flow)
-        val isEngine = surroundings.config?.services?.get(request.service)?.engine != null
+        val prompt = plan.promptOf(flow)
+        val isEngine = plan.isEngine(request.service)
         val target = if (isEngine) {
             engines.choose(candidates.filter { it.id !in flow.tried }.ifEmpty { candidates }, prompt, now)
         } else {
@@ -264,7 +196,7 @@
             sent.id,
             target,
             surroundings.connectionShare(request.service),
-            finalHandles(flow),
+            flow.finalHandles(),
             left,
             flow.lastEventId,
             request.rank,
@@ -274,11 +206,6 @@
     private fun cacheTokens(service: String) =
         surroundings.config?.services?.get(service)?.engine?.cacheTokens ?: Long.MAX_VALUE
 
-    private fun promptOf(flow: Flow) = Prompt(flow.request.parts, bytesByDataCentre(flow))
-
-    /** Results of the stages that no other stage follows. */
-    private fun finalHandles(flow: Flow): List<String> = flow.handles.filterNotNull().flatten()
-
     private fun sentOf(id: SendId): Pair<Flow, Sent>? {
         val flow = flows[id.flow] ?: return null
         val sent = flow.send?.takeIf { it.id == id } ?: return null
@@ -298,7 +225,7 @@
         sent.isRead = true
         engines.onRead(sent.target.id, sent.unread)
         engines.onAnswer(sent.target.id)
-        freeAll(flow)
+        effects += flow.releaseAll()
     }
 
     private fun onAnswerEnded(event: FlowEvent.AnswerEnded, now: Long) {
@@ -418,7 +345,7 @@
         val sent = flow.send ?: return
         if (sent.areInputsTold || sent.isRead || now - sent.sentMs < FETCH_MS) return
         sent.areInputsTold = true
-        val handles = finalHandles(flow)
+        val handles = flow.finalHandles()
         if (handles.isNotEmpty() && !plain.isQueueing(sent.target, now)) effects += FlowEffect.ResultsRead(handles)
     }
 
@@ -483,7 +410,7 @@
     private fun end(flow: Flow, outcome: String) {
         flow.send?.let { endSend(flow, it) }
         cancelStages(flow)
-        freeAll(flow)
+        effects += flow.releaseAll()
         flows.remove(flow.request.flow)
         lane.remove(flow.request.flow)
         startedFromLane -= flow.request.flow
@@ -506,22 +433,13 @@
         flow.jobs.clear()
         flow.startedStages.removeIf { flow.handles[it] == null }
         if (flow.startedStages.any { flow.handles[it]?.isEmpty() == true }) {
-            freeAll(flow)
+            effects += flow.releaseAll()
             forgetHandles(flow)
         }
     }
 
-    private fun freeAll(flow: Flow) {
-        for (number in flow.handles.indices) {
-            val handles = flow.handles[number].orEmpty()
-            if (handles.isEmpty()) continue
-            effects += FlowEffect.FreeResults(flow.request.route.stages[number].service, handles)
-            flow.handles[number] = emptyList()
-        }
-    }
-
     private fun forgetHandles(flow: Flow) {
-        freeAll(flow)
+        effects += flow.releaseAll()
         flow.handles.fill(null)
         flow.startedStages.clear()
     }
