--- a/src/main/kotlin/discovery/TargetDirectory.kt
+++ b/src/main/kotlin/discovery/TargetDirectory.kt
@@ -211,8 +211,11 @@
         val previous = known[change.id] ?: return change.entry != null
         return when {
             previous.position.era == era -> change.offset > previous.position.offset
+
             change.offset >= eraStart -> true
+
             isConsistentWithCopy(change, previous) -> true
+
             else -> {
                 doubtful += change.id
                 false
--- a/src/main/kotlin/front/LoopLag.kt
+++ b/src/main/kotlin/front/LoopLag.kt
@@ -1,6 +1,6 @@
 /*
- * Measures how long the event loop was held up. Requests that arrived meanwhile have waited unread, while their callers'
- * timeouts went on.
+ * Measures how long the event loop was held up. Requests that arrived meanwhile have waited unread, while the timeouts
+ * of their callers went on.
  */
 package org.sesamerouter.front
 
--- a/src/main/kotlin/front/PeerUpdateAdapter.kt
+++ b/src/main/kotlin/front/PeerUpdateAdapter.kt
@@ -74,9 +74,9 @@
     }
 
     /**
-     * Queues the [changes] of a [read] that this host made from the store for the other hosts. They are sent on the next
-     * tick. A full read does not show which of its entries the other hosts lack, so it leaves a gap for those that have
-     * not read as far.
+     * Queues the [changes] of a [read] that this host made from the store for the other hosts. They are sent on the
+     * next tick. A full read does not show which of its entries the other hosts lack, so it leaves a gap for those that
+     * have not read as far.
      */
     fun onLocalRead(read: EntryRead, changes: List<EntryChange>) {
         val next = read.copy(from = if (read.full) read.end else read.from, full = false, changes = changes)
--- a/src/main/kotlin/platform/StoreClient.kt
+++ b/src/main/kotlin/platform/StoreClient.kt
@@ -97,8 +97,7 @@
         private set
 
     /** Reads the newest record of each key of [topic]. */
-    fun newest(topic: KeyedTopic, done: (StoreOutcome<KeyedRecords>) -> Unit) =
-        readNewestAfter(topic, null, null, done)
+    fun newest(topic: KeyedTopic, done: (StoreOutcome<KeyedRecords>) -> Unit) = readNewestAfter(topic, null, null, done)
 
     /** Reads the records of [topic] from offset [from]; waits up to [waitMs] for the first record. */
     fun read(topic: KeyedTopic, from: Long, waitMs: Long, done: (StoreOutcome<KeyedRecords>) -> Unit): StoreCall {
@@ -131,11 +130,8 @@
             val decoded = reply.decodeWith { r -> decodeJson(NewestPage.serializer(), r.body)?.let { it to r.era } }
             when (decoded) {
                 is StoreOutcome.Done -> onNewestPage(topic, decoded.value.first, decoded.value.second, previous, done)
-
                 is StoreOutcome.Refused -> done(decoded)
-
                 is StoreOutcome.Unreachable -> done(decoded)
-
                 StoreOutcome.HistoryTruncated -> done(StoreOutcome.HistoryTruncated)
             }
         }
--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -130,6 +130,7 @@
         val pooled = takeIdle(address)
         when {
             pooled != null -> pooled.start(request, listener, call)
+
             poolOf(address).open >= maxConnections ->
                 listener.onFailed(CallFailure(CallProgress.NOT_ATTEMPTED, "connection limit of $address"))
 
--- a/src/test/kotlin/discovery/TargetDirectorySpec.kt
+++ b/src/test/kotlin/discovery/TargetDirectorySpec.kt
@@ -22,8 +22,7 @@
 private fun delta(from: Long, end: Long, vararg changes: EntryChange, era: Long = 0) =
     EntryRead(from, end, false, changes.toList(), era)
 
-private fun TargetDirectory.tickUntil(endMs: Long, fromMs: Long = 0) =
-    (fromMs..endMs step 100).forEach { onTick(it) }
+private fun TargetDirectory.tickUntil(endMs: Long, fromMs: Long = 0) = (fromMs..endMs step 100).forEach { onTick(it) }
 
 class TargetDirectorySpec :
     FunSpec({
--- a/src/test/kotlin/front/FrontHostSpec.kt
+++ b/src/test/kotlin/front/FrontHostSpec.kt
@@ -207,8 +207,8 @@
         }
 
         test(
-            "after the store was restored from a copy, hosts keep the configuration, follow offsets that are given out " +
-                "again and register again",
+            "after the store was restored from a copy, hosts keep the configuration, follow offsets that are given " +
+                "out again and register again",
         ) {
             Site().use { site ->
                 val store = site.platform.store
