--- a/src/test/kotlin/front/PlatformStandin.kt
+++ b/src/test/kotlin/front/PlatformStandin.kt
@@ -19,8 +19,6 @@
 import org.sesamerouter.web.startRequestServer
 import java.io.ByteArrayOutputStream
 import java.io.DataOutputStream
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.ByteBuffer
 import java.util.Base64
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -29,9 +27,6 @@
 
 private const val STAGE_CALL_MS = 30L // long enough that items of several requests share a call
 
-internal fun freeAddress(): String =
-    ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
-
 /** The stand-ins of one platform, which share one event loop. */
 internal class PlatformStandin : AutoCloseable {
     private val eventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
