Pass state updates through relays in large fleets; count a request from its first byte

Cause: each host sent its state to every other up to four times a second, each message encoded and answered for itself: 95 x 94 x 4 = 35,700 messages a second and as many replies. Every host held a waiting read of the configuration, and three times in four new versions were fetched from one peer by all. Host lists were rebuilt 40 times a second.

Three hosts (and any that reads the targets) wait for a new configuration, the others read it when they hear of it. Deaths travel with the updates. Deadlines count from the first byte, less the time that the event loop was held up in its last rounds.

Not measured after yet.

--- a/src/main/kotlin/engine/EngineTable.kt
+++ b/src/main/kotlin/engine/EngineTable.kt
@@ -5,8 +5,10 @@
  */
 package org.sesamerouter.engine
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
 import org.sesamerouter.discovery.TargetEntry
 
 /** Prefill speed of an engine, as seen on the engines in use. */
@@ -20,16 +22,18 @@
 private const val FAILURES_BEFORE_BACKOFF = 2
 
 /** A part of a prompt. The parts of a prompt are listed in the order of the prompt. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
-data class PromptPart(val id: String, val tokens: Int)
+data class PromptPart(@CborLabel(1) val id: String, @CborLabel(2) val tokens: Int)
 
 /** A host's load on one engine, and the prompt parts that it sent there since its last report. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class EngineReport(
-    val target: String,
-    @SerialName("unreadTokens") val pendingPrefillTokens: Long,
-    val streams: Int,
-    val parts: List<PromptPart>,
+    @CborLabel(1) val target: String,
+    @CborLabel(2) @SerialName("unreadTokens") val pendingPrefillTokens: Long,
+    @CborLabel(3) val streams: Int,
+    @CborLabel(4) val parts: List<PromptPart>,
 )
 
 /** A prompt that needs an engine; [inputs] holds the input bytes to be fetched from each data centre. */
--- a/src/main/kotlin/front/CallerExchanges.kt
+++ b/src/main/kotlin/front/CallerExchanges.kt
@@ -51,7 +51,6 @@
     private val metrics: FrontMetrics,
 ) {
     private val exchanges = HashMap<Long, CallerExchange>()
-    private val loopLag = LoopLag(eventLoop, clock)
     private var sequence = 0L
 
     init {
@@ -147,7 +146,7 @@
             service = chooseService(route, id),
             rank = config.rankOf(organisation, route),
             arrivedMs = now,
-            deadlineMs = now - loopLag.sinceMs(now) + timeoutMs,
+            deadlineMs = incoming.startedMs + timeoutMs,
             callerTimeoutMs = headers.deadlineMs,
             pieces = if (route.stages.isEmpty()) emptyList() else headers.pieces,
             pieceKey = headers.pieceKey,
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -42,6 +42,7 @@
 import org.sesamerouter.web.IncomingRequest
 import org.sesamerouter.web.RequestLimits
 import org.sesamerouter.web.RequestServer
+import org.sesamerouter.web.measureLoopLag
 import org.sesamerouter.web.startRequestServer
 import org.slf4j.LoggerFactory
 import java.util.Random
@@ -77,6 +78,7 @@
     internal val controlLoop = ControlLoop(settings.name)
     private val eventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val eventLoop = eventLoopGroup.next() as EventLoop
+    private val loopLag = measureLoopLag(eventLoop, clock)
     private val client = ForwardClient(eventLoop, clock)
     private val metrics = FrontMetrics()
     internal val directory = TargetDirectory()
@@ -112,6 +114,7 @@
     private var targetsByAddress: Map<String, TargetEntry> = emptyMap()
     private val servers = ArrayList<RequestServer>()
 
+    private var publishedState = -1L to -1L
     private var loggedMembers: Map<String, String> = emptyMap()
 
     @Volatile
@@ -159,7 +162,7 @@
     }
 
     private fun listen(address: String, limits: () -> RequestLimits, handler: (IncomingRequest) -> Unit) {
-        servers += startRequestServer(address, eventLoopGroup, clock, limits, handler)
+        servers += startRequestServer(address, eventLoopGroup, clock, limits, loopLag, handler)
     }
 
     private fun registerGauges() {
@@ -174,6 +177,8 @@
         metrics.gauge("peers.bytes.sent") { link.counts().bytesSent }
         metrics.gauge("peers.bytes.received") { link.counts().bytesReceived }
         metrics.gauge("peers.frames.bad") { link.counts().badFrames }
+        metrics.gauge("peers.messages.sent") { link.counts().messagesSent }
+        metrics.gauge("peers.messages.dropped") { link.counts().messagesDropped }
     }
 
     /**
@@ -247,14 +252,20 @@
         publishState()
     }
 
+    /** Reads the configuration from the store at once. */
+    internal fun readConfigNow() = storeAdapter.readConfigNow()
+
     private fun publishState() {
-        logMemberChanges()
         val ready = !isStopping && config != null && directory.isReady
         if (ready != isReady) log.write("ready", "ready" to ready, "version" to config?.version)
         isReady = ready
         val version = config?.version ?: -1
         val changed = membership.self.ready != ready || membership.self.revision != version
         if (changed) membership.updateSelf(disseminate = true) { it.copy(ready = ready, revision = version) }
+        val state = membership.changes to peers.changes
+        if (state == publishedState) return
+        publishedState = state
+        logMemberChanges()
         addresses = membership.live()
             .filter { it.status == MemberStatus.ALIVE && it.ready && !it.leaving && peers.isResponsive(it.host) }
             .map { it.http }.sorted()
@@ -316,7 +327,7 @@
 
             is FlowEffect.BroadcastDeath -> {
                 log.write("target-death", "target" to effect.notice.target, "request" to effect.notice.fingerprint)
-                peerUpdates.broadcastDeath(effect.notice)
+                peerUpdates.onDeath(effect.notice)
             }
 
             is FlowEffect.Ended -> {
--- a/src/main/kotlin/front/PeerClient.kt
+++ b/src/main/kotlin/front/PeerClient.kt
@@ -16,6 +16,8 @@
 private const val PING_INTERVAL_MS = 200L
 private const val MISSED_PINGS_LIMIT = 2
 private const val SEND_TIMEOUT_MS = 1_000L
+private const val BROADCAST_PING_INTERVAL_MS = 1_000L // a connection may go silent without an error
+private const val RECENT_BROADCAST_MS = 2_000L
 
 internal class PeerClient(
     private val link: PeerLink,
@@ -30,10 +32,15 @@
         var lastPingMs = 0L
         var isPingPending = false
         var isUnresponsive = false
+        var lastBroadcastMs = Long.MIN_VALUE / 2
     }
 
     private val states = HashMap<String, PeerState>()
 
+    /** Number of times that a host became responsive or unresponsive. */
+    var changes = 0L
+        private set
+
     /** Called with a host each time it misses [MISSED_PINGS_LIMIT] pings in a row, also while unresponsive. */
     var onUnresponsive: (String) -> Unit = {}
 
@@ -64,11 +71,21 @@
      */
     fun send(host: String, request: ServingRequest) = request(host, request, SEND_TIMEOUT_MS) {}
 
-    /** Pings the peers with pending requests and the unresponsive ones. */
+    /** Sends [message] to [hosts] without replies. */
+    fun broadcast(hosts: List<String>, message: ServingRequest) {
+        val now = clock.nowMs()
+        hosts.forEach { states.getOrPut(it) { PeerState() }.lastBroadcastMs = now }
+        link.broadcast(hosts.mapNotNull { membership.member(it)?.peer }, message)
+    }
+
+    /** Pings the peers with pending requests, the unresponsive ones and, less often, those that get broadcasts. */
     fun onTick(now: Long) {
         for ((host, state) in states) {
-            val isDue = !state.isPingPending && now - state.lastPingMs >= PING_INTERVAL_MS
-            if (isDue && (state.pendingRequests > 0 || state.isUnresponsive)) ping(host, state, now)
+            if (state.isPingPending) continue
+            val isWatched = state.pendingRequests > 0 || state.isUnresponsive
+            val intervalMs = if (isWatched) PING_INTERVAL_MS else BROADCAST_PING_INTERVAL_MS
+            val isNeeded = isWatched || now - state.lastBroadcastMs < RECENT_BROADCAST_MS
+            if (isNeeded && now - state.lastPingMs >= intervalMs) ping(host, state, now)
         }
         states.keys.retainAll { membership.member(it)?.isLive == true }
     }
@@ -85,14 +102,20 @@
     private fun onPingResult(host: String, state: PeerState, answered: Boolean) {
         state.isPingPending = false
         if (answered) {
-            if (state.isUnresponsive) log.write("peer-back", "peer" to host)
+            if (state.isUnresponsive) {
+                changes++
+                log.write("peer-back", "peer" to host)
+            }
             state.missedPings = 0
             state.isUnresponsive = false
             return
         }
         if (++state.missedPings < MISSED_PINGS_LIMIT) return
         state.missedPings = 0
-        if (!state.isUnresponsive) log.write("peer-silent", "peer" to host, "at" to clock.nowMs())
+        if (!state.isUnresponsive) {
+            changes++
+            log.write("peer-silent", "peer" to host, "at" to clock.nowMs())
+        }
         state.isUnresponsive = true
         membership.member(host)?.let { link.disconnect(it.peer) }
         onUnresponsive(host)
--- a/src/main/kotlin/front/PeerUpdateAdapter.kt
+++ b/src/main/kotlin/front/PeerUpdateAdapter.kt
@@ -1,18 +1,21 @@
 /*
  * Exchanges state between hosts that forward requests: changes of targets, the configuration version, the load of
- * engines and the expected times of pools. A host that learns of a newer configuration from a peer fetches it from that
- * peer, so that hosts which the store rejects are updated too.
+ * engines and the expected times of pools. In a large fleet, relays pass the updates on. A host that learns of a newer
+ * configuration reads it from the store; if that fails, it fetches it from a peer, so that hosts which the store
+ * rejects are updated too.
  */
 package org.sesamerouter.front
 
 import org.sesamerouter.discovery.EntryChange
 import org.sesamerouter.discovery.EntryRead
 import org.sesamerouter.discovery.TargetIncarnation
+import org.sesamerouter.membership.DisseminationPlan
 import org.sesamerouter.membership.PeerHandler
 import org.sesamerouter.membership.PeerOutcome
 import org.sesamerouter.membership.PeerReply
 import org.sesamerouter.membership.PeerRequest
 import org.sesamerouter.membership.ProbeMessage
+import org.sesamerouter.membership.Recipients
 import org.sesamerouter.membership.ServingRequest
 import org.sesamerouter.membership.StageReply
 import org.sesamerouter.membership.StateReply
@@ -20,19 +23,29 @@
 
 private const val UPDATE_INTERVAL_MS = 250L // about the time within which an engine starts a prompt
 private const val STATE_TIMEOUT_MS = 500L
-private const val FETCH_DELAY_MS = 150L // by then a host that reaches the store has read the version itself
+private const val FETCH_DELAY_MS = 300L // by then a host that reaches the store has read the version itself
+private const val RELAY_INTERVAL_MS = 100L // passes on updates of several hosts at a time
 
 internal class PeerUpdateAdapter(private val host: FrontHost) : PeerHandler {
     private var nextUpdateMs = 0L
     private var pendingRead: EntryRead? = null
     private var pendingReadMs = 0L
     private var pendingLeaving = emptyList<TargetIncarnation>()
+    private var pendingDeaths = emptyList<DeathNotice>()
+    private val updatesToRelay = HashMap<String, MutableList<ServingRequest.StateUpdate>>()
+    private var nextRelayMs = 0L
+    private var plan: DisseminationPlan? = null
+    private var plannedFor = 0L to 0L
     private var isFetching = false
 
     override fun onProbe(message: ProbeMessage, from: String) = host.controlLoop.post {
         host.membership.onMessage(message, from, host.clock.nowMs()).forEach(host.link::sendProbe)
-        val newest = host.membership.live().maxByOrNull { it.revision } ?: return@post
-        if (newest.revision > version() || !host.directory.isReady) fetchState(newest.host)
+        val newest = message.members.maxByOrNull { it.revision } ?: return@post
+        if (newest.revision > version()) {
+            onNewerVersion(newest.host)
+        } else if (!host.directory.isReady) {
+            fetchState(newest.host)
+        }
     }
 
     override fun onRequest(request: PeerRequest, reply: (PeerReply) -> Unit) = host.controlLoop.post {
@@ -54,10 +67,7 @@
                 reply(PeerReply.Acknowledged)
             }
 
-            is ServingRequest.StateUpdate -> {
-                onUpdate(request)
-                reply(PeerReply.Acknowledged)
-            }
+            is ServingRequest.StateUpdates -> onUpdates(request)
 
             ServingRequest.State -> reply(currentState())
 
@@ -101,9 +111,10 @@
         nextUpdateMs = 0
     }
 
-    /** Sends [notice] to the other hosts at once, since the request may be retried at any of them. */
-    fun broadcastDeath(notice: DeathNotice) {
-        otherHosts().forEach { host.link.request(it.peer, PeerRequest.Deaths(listOf(notice)), STATE_TIMEOUT_MS) {} }
+    /** Queues [notice] for the other hosts, since the request may be retried at any of them. */
+    fun onDeath(notice: DeathNotice) {
+        pendingDeaths += notice
+        updateOnNextTick()
     }
 
     /** Announces at once that this host is leaving, so that the others send it no more work. */
@@ -111,43 +122,98 @@
         otherHosts().forEach { host.link.sendProbe(host.membership.ping(it)) }
     }
 
-    /** Sends pending changes to the other hosts when an update is due. */
+    /** Sends pending changes of this host when an update is due, and passes on those of others. */
     fun onTick(now: Long) {
+        if (updatesToRelay.isNotEmpty() && now >= nextRelayMs) relayUpdates(now)
         if (now < nextUpdateMs) return
         nextUpdateMs = now + UPDATE_INTERVAL_MS
-        val read = pendingRead
-        val engines = host.engines.takeReports(now)
-        val pools = host.stages.poolReports(now)
-        val isNewVersion = version() != sentVersion
-        val isUnchanged = engines.isEmpty() && pools.isEmpty() && pendingLeaving.isEmpty()
-        if (read == null && isUnchanged && !isNewVersion) return
-        pendingRead = null
-        sentVersion = version()
+        val update = takeUpdate(now) ?: return
+        for (recipients in currentPlan().own) send(recipients, listOf(update))
+    }
+
+    private fun takeUpdate(now: Long): ServingRequest.StateUpdate? {
         val update = ServingRequest.StateUpdate(
             host.self.host,
             version(),
-            read,
+            pendingRead,
             now - pendingReadMs,
-            engines,
-            pools,
+            host.engines.takeReports(now),
+            host.stages.poolReports(now),
             pendingLeaving,
+            pendingDeaths,
         )
+        val hasState = update.read != null || update.engines.isNotEmpty() || update.pools.isNotEmpty()
+        val isUnchanged = !hasState && !update.isUrgent && version() == sentVersion
+        pendingRead = null
         pendingLeaving = emptyList()
-        otherHosts().forEach { host.peers.send(it.host, update) }
+        pendingDeaths = emptyList()
+        sentVersion = version()
+        return update.takeUnless { isUnchanged }
+    }
+
+    private fun relayUpdates(now: Long) {
+        nextRelayMs = now + RELAY_INTERVAL_MS
+        for ((dataCentre, updates) in updatesToRelay) {
+            for (recipients in currentPlan().passedOnFrom(dataCentre)) send(recipients, updates)
+        }
+        updatesToRelay.clear()
+    }
+
+    private fun send(recipients: Recipients, updates: List<ServingRequest.StateUpdate>) = host.peers.broadcast(
+        recipients.hosts,
+        ServingRequest.StateUpdates(host.self.dataCentre, recipients.final, updates),
+    )
+
+    private fun currentPlan(): DisseminationPlan {
+        val state = host.membership.changes to host.peers.changes
+        plan?.let { if (plannedFor == state) return it }
+        plannedFor = state
+        return DisseminationPlan(host.self, otherHosts() + host.self).also { plan = it }
     }
 
     private var sentVersion = -1L
 
+    private fun onUpdates(message: ServingRequest.StateUpdates) {
+        if (!message.final) {
+            updatesToRelay.getOrPut(message.dataCentre) { ArrayList() } += message.updates
+            val hasNewVersion = message.updates.any { it.configVersion > version() }
+            if (hasNewVersion || message.updates.any { it.isUrgent }) nextRelayMs = 0
+        }
+        message.updates.filter { it.from != host.self.host }.forEach(::onUpdate)
+    }
+
     private fun onUpdate(update: ServingRequest.StateUpdate) {
         val now = host.clock.nowMs()
         update.read?.let { host.onTargets(it, update.readAgeMs, isLocalRead = false) }
         update.leaving.forEach { host.onLeaving(it, isLocal = false) }
+        update.deaths.forEach { host.quarantine.onDeath(it, now) }
         host.engines.onReports(update.from, update.engines, now)
         host.stages.onPoolReports(update.pools, now)
-        val isBehind = update.configVersion > version() || update.read?.let(host.directory::isBehind) == true
-        if (isBehind) host.controlLoop.after(FETCH_DELAY_MS) { fetchState(update.from, update.read) }
+        if (update.configVersion > version()) onNewerVersion(update.from)
+        val read = update.read ?: return
+        if (host.directory.isBehind(read)) host.controlLoop.after(FETCH_DELAY_MS) { fetchState(update.from, read) }
     }
 
+    /** Reads a configuration that the host [from] already has from the store, or from that host if that fails. */
+    private fun onNewerVersion(from: String) {
+        if (isNewerVersionPending) return
+        isNewerVersionPending = true
+        host.readConfigNow()
+        host.controlLoop.after(FETCH_DELAY_MS) {
+            isNewerVersionPending = false
+            fetchState(hostWithNewestVersion() ?: from)
+        }
+    }
+
+    /** A random one, so that not all hosts ask the first one that had the version. */
+    private fun hostWithNewestVersion(): String? {
+        val others = otherHosts()
+        val newest = others.maxOfOrNull { it.revision } ?: return null
+        return others.filter { it.revision == newest }.randomOrNull()?.host
+    }
+
+    private var isNewerVersionPending = false
+
     private fun version() = host.config?.version ?: -1
 
     private fun otherHosts() =
--- a/src/main/kotlin/front/StartupProbe.kt
+++ b/src/main/kotlin/front/StartupProbe.kt
@@ -46,7 +46,7 @@
     val clock = systemClock()
     val platformAddress = freeAddress()
     val platform = ProbePlatform(platformAddress)
-    startRequestServer(platformAddress, group, clock, { RequestLimits() }, platform::onRequest)
+    startRequestServer(platformAddress, group, clock, { RequestLimits() }, handler = platform::onRequest)
     val settings = probeSettings(platformAddress)
     startFrontHost(settings)
     val client = ForwardClient(group.next() as EventLoop, clock)
--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -1,6 +1,7 @@
 /*
- * Reads from the platform's store: the configuration by long polling, the targets by short reads that are distributed
- * over the hosts, and the list of this system's hosts. Replies arrive on the event loop and are passed to the control
+ * Reads from the platform's store: the configuration by long polling of a few hosts, the targets by short reads that
+ * are distributed over the hosts, and the list of this system's hosts. The other hosts learn from these that there is a
+ * new configuration, and then read it. Replies arrive on the event loop and are passed to the control
  * thread. When the store was restored from a copy, everything is read again and this host registers again.
  */
 package org.sesamerouter.front
@@ -26,6 +27,8 @@
 private const val READ_INTERVAL_MS = 400L // age of the newest known read at which the first host in order reads again
 private const val READ_STAGGER_MS = 150L // additional age for each further host in order
 private const val MAX_READ_ORDER = 6
+private const val CONFIG_READERS = 3 // hosts that wait for a new configuration; the first two may be cut off
+private const val RECENT_READ_MS = 2_000L
 private const val HOSTS_RETRY_MS = 1_000L
 
 /** Callbacks of [StoreAdapter]; all are called on the control thread. */
@@ -56,6 +59,8 @@
     private var linkAddress = ""
     private var configPosition: StreamPosition? = null
     private var configRead = 0L
+    private var isReadingConfig = false
+    private var nextConfigReadMs = 0L
     private var configCall: StoreCall? = null
     private var registration = 0L
     private var isReadingTargets = false
@@ -76,6 +81,13 @@
         controlLoop.post { registerHost() }
     }
 
+    /** Reads the configuration at once, after a peer reported a newer version. */
+    fun readConfigNow() {
+        if (isReadingConfig && configPosition == null) return
+        configPosition = null
+        readConfig()
+    }
+
     /**
      * Handles the [seen] era of a read by this host or a peer. A higher one than before means that the store lost its
      * newest records: a waiting read of the configuration waits at an offset that other records may get, and the entry
@@ -85,20 +97,35 @@
         if (seen <= era) return
         log.write("store-restored", "era" to seen, "before" to era)
         era = seen
-        if (configPosition != null) {
-            configPosition = null
-            readConfig()
-        }
+        readConfigNow()
         if (registeredEra != null) registerHost()
     }
 
-    /** Reads the targets when the newest read is too old for this host's position in the read order. */
+    /** Starts the reads that are due. */
     fun onTick(now: Long) {
-        if (isReadingTargets || now < nextReadMs) return
+        if (!isReadingConfig && now >= nextConfigReadMs && isConfigReader(now)) readConfig()
+        if (!isReadingTargets && now >= nextReadMs && isTargetReadDue(now)) readTargets(now)
+    }
+
+    /**
+     * Whether this host waits for new configurations: the first hosts in order do, and those that read the targets
+     * because the first ones do not.
+     */
+    private fun isConfigReader(now: Long): Boolean =
+        configPosition == null || now - lastOwnReadMs < RECENT_READ_MS || listener.readOrder() < CONFIG_READERS
+
+    /** Whether the newest read of the targets is too old for this host's position in the read order. */
+    private fun isTargetReadDue(now: Long): Boolean {
+        if (directory.position < 0) return true
+        val lastReadMs = if (directory.needsRenewals) lastOwnReadMs else directory.lastContiguousReadMs
+        val ageMs = now - lastReadMs
+        if (ageMs < READ_INTERVAL_MS) return false
         val order = if (directory.needsRenewals) 0 else minOf(listener.readOrder(), MAX_READ_ORDER)
+        return ageMs >= READ_INTERVAL_MS + order * READ_STAGGER_MS
+    }
+
+    private fun readTargets(now: Long) {
         val isFirst = directory.position < 0
-        val lastReadMs = if (directory.needsRenewals) lastOwnReadMs else directory.lastContiguousReadMs
-        if (!isFirst && now - lastReadMs < READ_INTERVAL_MS + order * READ_STAGGER_MS) return
         isReadingTargets = true
         lastOwnReadMs = now
         val position = directory.position
@@ -145,6 +172,7 @@
     private fun readConfig() {
         val position = configPosition
         val number = ++configRead
+        isReadingConfig = true
         val previousCall = configCall
         configCall = null
         eventLoop.execute {
@@ -163,6 +191,7 @@
 
     private fun onConfig(outcome: StoreOutcome<KeyedRecords>, position: StreamPosition?) {
         configCall = null
+        isReadingConfig = false
         when (outcome) {
             is StoreOutcome.Done -> {
                 val records = outcome.value
@@ -171,16 +200,12 @@
                 newest?.text?.let(listener::onConfig)
                 // Offsets of another era were assigned again: records before this read may have been missed.
                 val isContiguous = position == null || position.era == records.era
-                configPosition = null
+                configPosition = if (isContiguous) StreamPosition(records.era, records.end) else null
+                if (records.era > era) configPosition = null
                 onEra(records.era)
-                if (isContiguous) configPosition = StreamPosition(records.era, records.end)
-                readConfig()
             }
 
-            StoreOutcome.HistoryTruncated -> {
-                configPosition = null
-                readConfig()
-            }
+            StoreOutcome.HistoryTruncated -> configPosition = null
 
             is StoreOutcome.Refused -> onConfigReadFailed("status ${outcome.status}")
 
@@ -190,8 +215,7 @@
 
     private fun onConfigReadFailed(cause: String) {
         updateStoreState(isReachable = false, "configuration: $cause")
-        val failed = configRead
-        controlLoop.after(RETRY_MS) { if (configRead == failed) readConfig() }
+        nextConfigReadMs = clock.nowMs() + RETRY_MS
     }
 
     private fun updateStoreState(isReachable: Boolean, what: String) {
--- a/src/main/kotlin/membership/Membership.kt
+++ b/src/main/kotlin/membership/Membership.kt
@@ -41,6 +41,10 @@
     private var sequence = 0L
     private var rounds = 0L
 
+    /** Number of changes of records so far. */
+    var changes = 0L
+        private set
+
     /** This host's own record. */
     var self: Member = initial
         private set
@@ -80,6 +84,7 @@
     fun updateSelf(disseminate: Boolean, change: (Member) -> Member) {
         val changed = change(self)
         if (changed == self) return
+        changes++
         self = if (disseminate) changed.copy(version = self.version + 1) else changed
         members[self.host] = self
         if (disseminate) enqueueUpdate(self.host)
@@ -190,6 +195,7 @@
     }
 
     private fun removeMember(host: String) {
+        changes++
         members.remove(host)
         changedAtMs.remove(host)
         retransmitsLeft.remove(host)
@@ -232,6 +238,7 @@
     }
 
     private fun put(record: Member, now: Long) {
+        changes++
         members[record.host] = record
         changedAtMs[record.host] = now
         enqueueUpdate(record.host)
--- a/src/main/kotlin/membership/PeerLink.kt
+++ b/src/main/kotlin/membership/PeerLink.kt
@@ -1,8 +1,8 @@
 /*
  * Network transport between hosts, based on Netty and CBOR. Membership messages are sent as datagrams. Requests to a
- * peer are multiplexed over one TCP connection and matched to replies by number. A frame consists of a version, a size
- * with an upper limit, and a body; an invalid frame is counted and closes the connection. All I/O runs on one event
- * loop.
+ * peer are multiplexed over one TCP connection and matched to replies by number; number 0 marks a message without a
+ * reply. A frame consists of a version, a size with an upper limit, and a body; an invalid frame is counted and closes
+ * the connection. All I/O runs on one event loop.
  */
 package org.sesamerouter.membership
 
@@ -35,7 +35,9 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
-private const val FRAME_VERSION: Byte = 1
+private const val FRAME_VERSION: Byte = 2
+private const val NO_REPLY_ID = 0L
+private const val MAX_QUEUED_MESSAGES = 32 // while the connection is opened
 private const val FRAME_HEADER_BYTES = 5
 private const val MAX_FRAME_BYTES = 16 * 1024 * 1024
 private const val CONNECT_TIMEOUT_MS = 1_000
@@ -59,7 +61,13 @@
 }
 
 /** Traffic counts of one link. */
-data class LinkCounts(val bytesSent: Long, val bytesReceived: Long, val badFrames: Long)
+data class LinkCounts(
+    val bytesSent: Long,
+    val bytesReceived: Long,
+    val badFrames: Long,
+    val messagesSent: Long,
+    val messagesDropped: Long,
+)
 
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor {
@@ -104,6 +112,8 @@
     private val bytesSent = AtomicLong()
     private val bytesReceived = AtomicLong()
     private val badFrames = AtomicLong()
+    private val messagesSent = AtomicLong()
+    private val messagesDropped = AtomicLong()
     private lateinit var server: Channel
     private lateinit var datagrams: Channel
 
@@ -120,11 +130,13 @@
     }
 
     /** Returns the traffic counts since startup. */
-    fun counts() = LinkCounts(bytesSent.get(), bytesReceived.get(), badFrames.get())
+    fun counts() =
+        LinkCounts(bytesSent.get(), bytesReceived.get(), badFrames.get(), messagesSent.get(), messagesDropped.get())
 
     /** Sends a datagram. The membership protocol tolerates its loss. */
     fun sendProbe(send: OutgoingProbe) {
         val bytes = encodeProbe(send.message)
+        messagesSent.incrementAndGet()
         bytesSent.addAndGet(bytes.size.toLong())
         datagrams.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), resolve(send.to))).addListener {
             if (!it.isSuccess) logger.debug("failed to send a datagram to {}", send.to, it.cause())
@@ -140,6 +152,22 @@
         }
     }
 
+    /**
+     * Sends [message] to all [peers], without replies. A peer that does not read its connection misses messages; they
+     * are counted as dropped.
+     */
+    fun broadcast(peers: List<String>, message: PeerRequest) {
+        try {
+            loop.execute {
+                val frame = encode(PeerFrame(NO_REPLY_ID, request = message))
+                peers.forEach { connectionTo(it).send(frame.retainedDuplicate()) }
+                frame.release()
+            }
+        } catch (_: RejectedExecutionException) {
+            logger.debug("the event loop was shut down before a message was sent")
+        }
+    }
+
     /** Closes the connection to [peer], which was found unresponsive. Its pending requests fail. */
     fun disconnect(peer: String) = loop.execute { connections.remove(peer)?.close() }
 
@@ -224,11 +252,16 @@
     @OptIn(ExperimentalSerializationApi::class)
     private fun encode(frame: PeerFrame): ByteBuf {
         val bytes = cbor.encodeToByteArray(PeerFrame.serializer(), frame)
-        bytesSent.addAndGet(bytes.size.toLong() + FRAME_HEADER_BYTES)
         val header = Unpooled.buffer(FRAME_HEADER_BYTES).writeByte(FRAME_VERSION.toInt()).writeInt(bytes.size)
         return Unpooled.wrappedBuffer(header, Unpooled.wrappedBuffer(bytes))
     }
 
+    private fun write(channel: Channel, frame: ByteBuf) {
+        messagesSent.incrementAndGet()
+        bytesSent.addAndGet(frame.readableBytes().toLong())
+        channel.writeAndFlush(frame)
+    }
+
     /** Decodes frames; the first invalid one closes the connection. */
     private inner class FrameDecoder : ByteToMessageDecoder() {
         @OptIn(ExperimentalSerializationApi::class)
@@ -262,7 +295,11 @@
                 ctx.close()
                 return
             }
-            handler.onRequest(request) { reply -> ctx.writeAndFlush(encode(PeerFrame(frame.id, reply = reply))) }
+            if (frame.id == NO_REPLY_ID) {
+                handler.onRequest(request) {}
+            } else {
+                handler.onRequest(request) { reply -> write(ctx.channel(), encode(PeerFrame(frame.id, reply = reply))) }
+            }
         }
 
         /** The connection failed. The peer's pending requests have their own timeouts. */
@@ -276,7 +313,7 @@
 
     private inner class PeerConnection(private val peer: String) : SimpleChannelInboundHandler<PeerFrame>() {
         private val pending = HashMap<Long, PendingRequest>()
-        private val queuedFrames = ArrayList<PeerFrame>()
+        private val queuedFrames = ArrayList<ByteBuf>()
         private var channel: Channel? = null
         private var sequence = 0L
 
@@ -298,7 +335,7 @@
             connecting.addListener {
                 if (connecting.isSuccess && isOpen) {
                     channel = connecting.channel()
-                    queuedFrames.forEach { connecting.channel().writeAndFlush(encode(it)) }
+                    queuedFrames.forEach { write(connecting.channel(), it) }
                     queuedFrames.clear()
                 } else {
                     connecting.channel().close()
@@ -311,15 +348,31 @@
             val id = ++sequence
             val timeout = loop.schedule({ expire(id) }, timeoutMs, TimeUnit.MILLISECONDS)
             pending[id] = PendingRequest(done, timeout)
-            val frame = PeerFrame(id, request = request)
+            val frame = encode(PeerFrame(id, request = request))
+            val connected = channel
+            if (connected == null) queuedFrames += frame else write(connected, frame)
+        }
+
+        fun send(frame: ByteBuf) {
             val connected = channel
-            if (connected == null) queuedFrames += frame else connected.writeAndFlush(encode(frame))
+            when {
+                connected == null && queuedFrames.size < MAX_QUEUED_MESSAGES -> queuedFrames += frame
+
+                connected != null && connected.isWritable -> write(connected, frame)
+
+                else -> {
+                    messagesDropped.incrementAndGet()
+                    frame.release()
+                }
+            }
         }
 
         fun close() {
             if (!isOpen) return
             isOpen = false
             channel?.close()
+            queuedFrames.forEach { it.release() }
+            queuedFrames.clear()
             val isSent = channel != null
             val failed = pending.values.toList()
             pending.clear()
--- a/src/main/kotlin/membership/ServingMessages.kt
+++ b/src/main/kotlin/membership/ServingMessages.kt
@@ -3,20 +3,24 @@
  */
 package org.sesamerouter.membership
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
 import org.sesamerouter.batching.JobOutcome
 import org.sesamerouter.batching.RankedTimes
 import org.sesamerouter.batching.StageJob
 import org.sesamerouter.discovery.EntryRead
 import org.sesamerouter.discovery.TargetIncarnation
 import org.sesamerouter.engine.EngineReport
+import org.sesamerouter.quarantine.DeathNotice
 
 /** Expected time of a stage in a pool, published by the host that owns the pool's queue. */
 @Serializable
 data class PoolReport(val service: String, val expectedMs: RankedTimes)
 
 /** Requests between hosts for serving forwarded requests. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 sealed interface ServingRequest : PeerRequest {
     /** Submits [job] to the owner of the pool's queue; the reply is sent when the job has ended. */
@@ -45,17 +49,35 @@
      * @property read changes of targets, read from the store [readAgeMs] ago.
      * @property configVersion configuration version in force at the sender, -1 if none.
      * @property leaving targets that announced in a response to the sender that they are leaving.
+     * @property deaths targets that died while they ran a request of the sender.
      */
     @Serializable
-    @SerialName("news")
     data class StateUpdate(
-        val from: String,
-        val configVersion: Long,
-        val read: EntryRead? = null,
-        val readAgeMs: Long = 0,
-        val engines: List<EngineReport> = emptyList(),
-        val pools: List<PoolReport> = emptyList(),
-        val leaving: List<TargetIncarnation> = emptyList(),
+        @CborLabel(1) val from: String,
+        @CborLabel(2) val configVersion: Long,
+        @CborLabel(3) val read: EntryRead? = null,
+        @CborLabel(4) val readAgeMs: Long = 0,
+        @CborLabel(5) val engines: List<EngineReport> = emptyList(),
+        @CborLabel(6) val pools: List<PoolReport> = emptyList(),
+        @CborLabel(7) val leaving: List<TargetIncarnation> = emptyList(),
+        @CborLabel(8) val deaths: List<DeathNotice> = emptyList(),
+    ) {
+        /** Whether other hosts should know of the update at once, since it decides where they may send requests. */
+        val isUrgent: Boolean
+            get() = leaving.isNotEmpty() || deaths.isNotEmpty() || read?.changes.orEmpty().isNotEmpty()
+    }
+
+    /**
+     * Passes [updates] on; the recipients pass those of a message that is not [final] on to other hosts.
+     *
+     * @property dataCentre data centre of the host that sends this message.
+     */
+    @Serializable
+    @SerialName("updates")
+    data class StateUpdates(
+        @CborLabel(1) val dataCentre: String,
+        @CborLabel(2) val final: Boolean,
+        @CborLabel(3) val updates: List<StateUpdate>,
     ) : ServingRequest
 
     /** Requests the declarations in force and all targets. */
--- a/src/main/kotlin/web/RequestConnection.kt
+++ b/src/main/kotlin/web/RequestConnection.kt
@@ -57,7 +57,7 @@
 
     fun onActivity() {
         lastActivityMs = server.clock.nowMs()
-        if (requestStartedMs < 0) requestStartedMs = lastActivityMs
+        if (requestStartedMs < 0) requestStartedMs = lastActivityMs - server.lag.sinceMs(lastActivityMs)
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
@@ -124,12 +124,14 @@
 
     private fun onRequestComplete(request: HttpRequest) {
         head = null
+        val startedMs = requestStartedMs
         requestStartedMs = -1
         val incoming = IncomingRequest(
             request.method().name(),
             request.uri(),
             request.headers(),
             body.toByteArray(),
+            startedMs,
             HttpUtil.isKeepAlive(request),
             this,
         )
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
@@ -48,12 +49,17 @@
     val idleTimeoutMs: Long = 60_000,
 )
 
-/** A complete request of a caller and its response. Must be used on the event loop of the connection. */
+/**
+ * A complete request of a caller and its response. Must be used on the event loop of the connection.
+ *
+ * @property startedMs when its first byte arrived, as far as it can be told; its body may have taken long.
+ */
 class IncomingRequest internal constructor(
     val method: String,
     val uri: String,
     val headers: HttpHeaders,
     val body: ByteArray,
+    val startedMs: Long,
     private val keepAlive: Boolean,
     private val connection: RequestConnection,
 ) {
@@ -134,6 +140,7 @@
     private val group: EventLoopGroup,
     internal val clock: Clock,
     internal val limits: () -> RequestLimits,
+    internal val lag: LoopLag,
     internal val handler: (IncomingRequest) -> Unit,
 ) {
     private val connections = LinkedHashSet<RequestConnection>()
@@ -198,11 +205,15 @@
     }
 }
 
-/** Starts a server at [address]. It calls [handler] for each request, on the event loop of the connection. */
+/**
+ * Starts a server at [address]. It calls [handler] for each request, on the event loop of the connection; [lag] tells
+ * how long requests may have waited for it.
+ */
 fun startRequestServer(
     address: String,
     group: EventLoopGroup,
     clock: Clock,
     limits: () -> RequestLimits,
+    lag: LoopLag = measureLoopLag(group.next() as EventLoop, clock),
     handler: (IncomingRequest) -> Unit,
-): RequestServer = RequestServer(group, clock, limits, handler).also { it.start(address) }
+): RequestServer = RequestServer(group, clock, limits, lag, handler).also { it.start(address) }
--- a/src/test/kotlin/front/PlatformStandin.kt
+++ b/src/test/kotlin/front/PlatformStandin.kt
@@ -44,7 +44,7 @@
     val receivedRequests = ConcurrentLinkedQueue<Map<String, String>>()
 
     fun listen(handler: (IncomingRequest) -> Unit): String = freeAddress().also {
-        startRequestServer(it, eventLoopGroup, clock, { RequestLimits() }, handler)
+        startRequestServer(it, eventLoopGroup, clock, { RequestLimits() }, handler = handler)
     }
 
     fun storeAddress(): String = listen(store::onRequest)
--- a/src/test/kotlin/membership/PeerLinkSpec.kt
+++ b/src/test/kotlin/membership/PeerLinkSpec.kt
@@ -14,6 +14,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.time.Duration.Companion.seconds
 
 private const val TIMEOUT_MS = 5_000L
@@ -55,6 +56,23 @@
             }
         }
 
+        test("a broadcast reaches every peer once and in order, also those that are not connected yet") {
+            val received = List(3) { ConcurrentLinkedQueue<String>() }
+            val peers = received.map { messages ->
+                val handler = object : PeerHandler {
+                    override fun onProbe(message: ProbeMessage, from: String) = Unit
+
+                    override fun onRequest(request: PeerRequest, reply: (PeerReply) -> Unit) {
+                        messages += (request as PeerRequest.Outcome).key
+                    }
+                }
+                PeerLink("127.0.0.1:0").also { it.start(handler) }
+            }
+            repeat(5) { i -> one.broadcast(peers.map { it.address }, PeerRequest.Outcome("k$i")) }
+            received.forEach { eventually(10.seconds) { it.toList() shouldBe List(5) { i -> "k$i" } } }
+            peers.forEach { it.close() }
+        }
+
         test("a bad version, an oversized frame and a garbage body close only their connection and are counted") {
             val frames = listOf(
                 byteArrayOf(9, 0, 0, 0, 1, 1),
--- a/src/test/kotlin/web/ForwardSpec.kt
+++ b/src/test/kotlin/web/ForwardSpec.kt
@@ -228,6 +228,23 @@
             reply shouldContain "GET /c "
         }
 
+        test("a request counts from its first byte, however long its body takes") {
+            val times = CompletableFuture<Pair<Long, Long>>()
+            val clock = systemClock()
+            val timed = startRequestServer("127.0.0.1:0", group, clock, { limits }) { request ->
+                times.complete(request.startedMs to clock.nowMs())
+                request.reply(200)
+            }
+            Socket("127.0.0.1", timed.port).use { socket ->
+                socket.write("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab")
+                Thread.sleep(200)
+                socket.write("cd")
+                val (startedMs, completeMs) = times.get(REPLY_TIMEOUT_S, TimeUnit.SECONDS)
+                (completeMs - startedMs >= 200) shouldBe true
+            }
+            timed.close()
+        }
+
         test("oversized heads are rejected with 431 and oversized bodies with 413") {
             exchange("GET /a HTTP/1.1\r\nHost: a\r\nX: ${"y".repeat(3_000)}\r\n\r\n") shouldStartWith "HTTP/1.1 431"
             exchange("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n") shouldStartWith "HTTP/1.1 413"
