Count the wait for a connection to be accepted against the deadline of its first request

Cause: after all hosts restart, callers connect at once; a round of the event loop accepts 16 connections, and rounds are long on a small host, so a request could wait unread for seconds without any single round showing it. Change: while a round reaches its limit, connections count as waiting since the backlog was last empty. Test: LoopLagSpec.

--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -32,6 +32,7 @@
 import java.util.concurrent.TimeUnit
 
 private const val LISTEN_BACKLOG = 1_024
+private const val MAX_ACCEPTS_PER_ROUND = 16 // the default of Netty for listening sockets
 private const val TIMEOUT_CHECK_MS = 250L // timeouts of callers are detected at most this late
 private const val LOW_WATERMARK_BYTES = 32 * 1024
 private const val HIGH_WATERMARK_BYTES = 128 * 1024
@@ -144,6 +145,7 @@
     internal val handler: (IncomingRequest) -> Unit,
 ) {
     private val connections = LinkedHashSet<RequestConnection>()
+    internal val backlog = AcceptBacklog(MAX_ACCEPTS_PER_ROUND, lag, clock)
     private lateinit var listening: Channel
 
     /** If set, each response tells the caller to close the connection. */
@@ -159,6 +161,7 @@
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .handler(AcceptCounter(backlog))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
