--- a/src/main/kotlin/web/AcceptBacklog.kt
+++ b/src/main/kotlin/web/AcceptBacklog.kt
@@ -1,6 +1,6 @@
 /*
- * Tells since when connections may have waited to be accepted. A round of the event loop accepts a limited number; if it
- * reaches the limit, others wait for the next round.
+ * Tells since when connections may have waited to be accepted. A round of the event loop accepts a limited number; if
+ * it reaches the limit, others wait for the next round.
  */
 package org.sesamerouter.web
 
