Notice on a busy host that a caller has closed its connection before its request is handled or sent

The logs of one: the request came 3 s after all hosts lost power, was read 1.7 s after it was sent and sent on 0.1 s later; its caller had abandoned it after 1 s unread. The event loop reads a connection once in a round, and a round takes 0.6 to 1 s there, so the end of the connection was seen after the send. Change: while the loop is held up, what has arrived on the connection is read before a request is handled and again before it is sent. Ruled out: the deadline (the request had 3.8 s left), the link to the engine. Test: ForwardSpec, fails without the change.

--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -60,6 +60,7 @@
     private var buffered: BufferedResponse? = null
 
     fun send(effect: FlowEffect.Send) {
+        if (!incoming.isCallerWaiting()) return // the flow ends with the event of the closed connection
         val now = deps.clock.nowMs()
         val deadlineLeftMs = effect.expiresAtMs - now
         if (deadlineLeftMs <= 0) {
--- a/src/main/kotlin/web/RequestConnection.kt
+++ b/src/main/kotlin/web/RequestConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.nio.AbstractNioChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -151,7 +152,25 @@
 
     private fun begin(request: IncomingRequest) {
         current = request
-        server.handler(request)
+        if (server.isLagging()) {
+            channel.eventLoop().execute { beginIfOpen(request) }
+        } else {
+            server.handler(request)
+        }
+    }
+
+    private fun beginIfOpen(request: IncomingRequest) {
+        readArrived()
+        if (channel.isActive && request.isOpen && current === request) server.handler(request)
+    }
+
+    /**
+     * Reads what has arrived. The event loop reads a connection once in each round, so that on a busy host the end of a
+     * connection is seen long after the request before it.
+     */
+    fun readArrived() {
+        val unsafe = channel.unsafe() as? AbstractNioChannel.NioUnsafe ?: return
+        if (channel.isActive) unsafe.read()
     }
 
     fun onResponseEnd(request: IncomingRequest, closes: Boolean) {
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -78,6 +78,12 @@
     var isResponseStarted = false
         private set
 
+    /** Whether the caller still waits, as far as data that has arrived but was not read yet tells. */
+    fun isCallerWaiting(): Boolean {
+        if (isOpen && connection.server.isLagging()) connection.readArrived()
+        return isOpen && connection.channel.isActive
+    }
+
     val isWritable: Boolean get() = connection.channel.isWritable
 
     /** Sends a complete response with [status], [headers] and [body]. */
@@ -183,6 +189,8 @@
         group.scheduleAtFixedRate(::checkTimeouts, TIMEOUT_CHECK_MS, TIMEOUT_CHECK_MS, TimeUnit.MILLISECONDS)
     }
 
+    internal fun isLagging(): Boolean = lag.sinceMs(clock.nowMs()) > 0
+
     internal fun onConnectionOpened(connection: RequestConnection) {
         connections += connection
     }
--- a/src/test/kotlin/web/ForwardSpec.kt
+++ b/src/test/kotlin/web/ForwardSpec.kt
@@ -20,6 +20,8 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
 private const val REPLY_TIMEOUT_S = 20L
@@ -245,6 +247,24 @@
             timed.close()
         }
 
+        test("on a busy host, a request whose caller has closed its connection meanwhile is not handled") {
+            val handled = ConcurrentLinkedQueue<String>()
+            val busy = LoopLag(0) // its timer never ran
+            val server = startRequestServer("127.0.0.1:0", group, systemClock(), { limits }, busy) { request ->
+                handled += request.uri
+                request.reply(200)
+            }
+            val release = CountDownLatch(1)
+            group.execute { release.await() }
+            Socket("127.0.0.1", server.port).use { it.write("GET /left HTTP/1.1\r\nHost: a\r\n\r\n") }
+            val waiting = Socket("127.0.0.1", server.port)
+            waiting.write("GET /waits HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            release.countDown()
+            waiting.getInputStream().readBytes().decodeToString() shouldStartWith "HTTP/1.1 200"
+            handled.toList() shouldBe listOf("/waits")
+            server.close()
+        }
+
         test("oversized heads are rejected with 431 and oversized bodies with 413") {
             exchange("GET /a HTTP/1.1\r\nHost: a\r\nX: ${"y".repeat(3_000)}\r\n\r\n") shouldStartWith "HTTP/1.1 431"
             exchange("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n") shouldStartWith "HTTP/1.1 413"
