--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -33,7 +33,11 @@
 import java.io.ByteArrayOutputStream
 
 private const val MAX_BUFFERED_BYTES = 1024 * 1024
-private const val STREAM_INACTIVITY_MS = 1_500L // callers give up a stalled stream after two seconds at the earliest
+private const val MIN_STREAM_PATIENCE_MS = 2_000L
+private const val PATIENCE_OBJECTIVES = 4
+private const val PATIENCE_PAUSES = 8
+private const val STREAM_INACTIVITY_SHARE = 0.5 // leaves as much time to resume the stream at another target
+private const val MAX_DECISION_AGE_MS = 500L // what a send was decided by may no longer hold after a pause
 private const val SAFE_INACTIVITY_MS = 700L // several times the longest processing time of a plain request
 private const val EVENT_STREAM_TYPE = "text/event-stream"
 
@@ -63,8 +67,9 @@
         if (!incoming.isCallerWaiting()) return // the flow ends with the event of the closed connection
         val now = deps.clock.nowMs()
         val deadlineLeftMs = effect.expiresAtMs - now
-        if (deadlineLeftMs <= 0) {
-            val failure = SendFailure.NotAttempted("decided too late to be sent")
+        val ageMs = now - effect.decidedAtMs
+        if (deadlineLeftMs <= 0 || ageMs > MAX_DECISION_AGE_MS) {
+            val failure = SendFailure.NotAttempted("decided $ageMs ms ago, $deadlineLeftMs ms left")
             post(FlowEvent.SendFailed(effect.send, failure))
             return
         }
@@ -125,10 +130,10 @@
     /** Gives up a target that has sent nothing for too long, if the request may run at another one. */
     fun checkInactivity(now: Long) {
         val current = currentSend ?: return
-        val inactiveMs = now - current.lastReceivedMs
+        val inactiveMs = now - current.lastProgressMs
         val limit = when {
             request.route.kind == RouteKind.SAFE && !current.isStarted -> SAFE_INACTIVITY_MS
-            request.route.isResumable && current.isStarted -> STREAM_INACTIVITY_MS
+            request.route.isResumable && current.isStarted -> streamInactivityMs
             else -> return
         }
         if (inactiveMs < limit) return
@@ -136,13 +141,23 @@
         current.onFailed(CallFailure(CallProgress.SENT, "silent for $inactiveMs ms"))
     }
 
+    /**
+     * How long a stream may make no progress before another target resumes it. Callers give up after the longest of two
+     * seconds, four objectives and eight of the route's pauses; a slow but sound stream is not to be cut.
+     */
+    private val streamInactivityMs = maxOf(
+        MIN_STREAM_PATIENCE_MS,
+        PATIENCE_OBJECTIVES * request.route.objectiveMs,
+        PATIENCE_PAUSES * request.route.gapObjectiveMs,
+    ).times(STREAM_INACTIVITY_SHARE).toLong()
+
     private fun post(event: FlowEvent) = deps.context.post(event)
 
     private fun elapsedMs() = (deps.clock.nowMs() - request.arrivedMs).toDouble()
 
     private inner class TargetSend(val id: SendId, private val target: TargetEntry) : ResponseListener {
         var call: ForwardCall? = null
-        var lastReceivedMs = deps.clock.nowMs()
+        var lastProgressMs = deps.clock.nowMs()
         var isStarted = false
         private var head: ResponseHead? = null
         private var status = 0
@@ -151,7 +166,7 @@
         private val failedBody = ByteArrayOutputStream()
 
         override fun onHead(status: Int, headers: HttpHeaders) {
-            lastReceivedMs = deps.clock.nowMs()
+            lastProgressMs = deps.clock.nowMs()
             val decoded = decodeResponseHead(status, headers)
             decoded.notice?.let { deps.context.onNotice(target, it) }
             this.status = status
@@ -171,14 +186,21 @@
         }
 
         override fun onBody(content: ByteBuf) {
-            lastReceivedMs = deps.clock.nowMs()
             if (!isStarted) {
                 onFailedBody(content)
                 return
             }
             val events = splitter
             val forwarded = if (events == null) content.retain() else events.add(content)
-            if (forwarded != null) incoming.write(forwarded)
+            if (forwarded != null) {
+                // Single bytes of an event are no progress: a stalled target may send some now and then.
+                lastProgressMs = deps.clock.nowMs()
+                incoming.write(forwarded)
+            }
+            if (events?.isTooLong == true) {
+                giveUp("an event without end")
+                return
+            }
             if (!incoming.isWritable) call?.setReading(false)
         }
 
--- a/src/main/kotlin/front/EventSplitter.kt
+++ b/src/main/kotlin/front/EventSplitter.kt
@@ -10,6 +10,7 @@
 
 private const val LINE_FEED = '\n'.code.toByte()
 private const val ID_FIELD = "id:"
+private const val MAX_EVENT_BYTES = 256 * 1024 // events are well below 1 KB
 
 /** Splits one event stream. Not thread-safe. */
 internal class EventSplitter {
@@ -19,6 +20,9 @@
     var lastId: String? = null
         private set
 
+    /** Whether the data since the last complete event is too long to be an event. */
+    val isTooLong: Boolean get() = pending.size() > MAX_EVENT_BYTES
+
     /** Adds [content] and returns the events that are now complete, or null when there are none. */
     fun add(content: ByteBuf): ByteBuf? {
         content.readBytes(pending, content.readableBytes())
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -219,8 +219,10 @@
         while (clock.nowMs() < lastMs) {
             val isTimeShort = lastMs - clock.nowMs() < STOP_REJECT_UNSENT_MS
             if (isTimeShort) onControlThread { flows.rejectUnsent().forEach { apply(it, clock.nowMs()) } }
+            val isEarly = clock.nowMs() - startedMs < MIN_STOP_MS
             val inProgress = onControlThread { flows.inProgress + stages.remoteJobs }
-            if (inProgress == 0 && clock.nowMs() - startedMs >= MIN_STOP_MS) break
+            // Callers may use their open connections to the end: what they have sent by now is still answered.
+            if (inProgress == 0 && !isEarly && servers.sumOf { it.closeWhenAnswered().get() } == 0) break
             Thread.sleep(STOP_POLL_MS)
         }
         onControlThread {
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -113,7 +113,7 @@
 
     /**
      * Sends the request to [target] with the handles [inputs] of the stage results, unless the deadline [expiresAtMs]
-     * has passed by then.
+     * has passed by then or too much time since [decidedAtMs].
      */
     data class Send(
         val send: SendId,
@@ -121,6 +121,7 @@
         val maxConnections: Int,
         val inputs: List<String>,
         val expiresAtMs: Long,
+        val decidedAtMs: Long,
         val lastEventId: String?,
         val rank: Int,
     ) : FlowEffect
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -202,6 +202,7 @@
             context.maxConnectionsPerTarget(request.service),
             flow.heldHandles(),
             request.deadlineMs,
+            now,
             flow.lastEventId,
             request.rank,
         )
--- a/src/main/kotlin/web/RequestConnection.kt
+++ b/src/main/kotlin/web/RequestConnection.kt
@@ -159,6 +159,17 @@
         }
     }
 
+    /** Whether a request was received that is not answered yet. */
+    val hasRequest: Boolean get() = current != null
+
+    /** Closes the connection after the answers to the requests that have arrived; at once if there are none. */
+    fun closeWhenAnswered() {
+        readArrived()
+        if (current == null && head == null) {
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { channel.close() }
+        }
+    }
+
     private fun beginIfOpen(request: IncomingRequest) {
         readArrived()
         if (channel.isActive && request.isOpen && current === request) server.handler(request)
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -29,6 +29,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import org.sesamerouter.clock.Clock
 import java.net.InetSocketAddress
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
 private const val LISTEN_BACKLOG = 1_024
@@ -199,6 +200,21 @@
         connections -= connection
     }
 
+    /**
+     * Stops listening and closes each connection once the requests that it has received are answered. Returns a future
+     * of the number of connections that still wait for an answer.
+     */
+    fun closeWhenAnswered(): CompletableFuture<Int> {
+        isClosing = true
+        val unanswered = CompletableFuture<Int>()
+        group.next().execute {
+            listening.close()
+            connections.toList().forEach { it.closeWhenAnswered() }
+            unanswered.complete(connections.count { it.hasRequest })
+        }
+        return unanswered
+    }
+
     /** Stops listening and closes the connections after flushing pending writes. */
     fun close() {
         listening.close()
--- a/src/test/kotlin/batching/PieceQueueSpec.kt
+++ b/src/test/kotlin/batching/PieceQueueSpec.kt
@@ -166,6 +166,17 @@
             (retried.target.id != call.target.id) shouldBe true
         }
 
+        test("a late second copy of a reply is not taken for the results of the next call, also when they were freed") {
+            val queue = queue("t1")
+            val first = queue.submit(job("a", 2), 0).calls().single()
+            queue.submit(job("b", 2), 10)
+            val second = queue.onCallEnded(first.call, made(first), 260).calls().single()
+            queue.free(made(first).items.map { (it as PieceOutcome.Made).handle }, 300)
+            val effects = queue.onCallEnded(second.call, made(first), 520)
+            effects.filterIsInstance<PoolEffect.Done>().shouldBeEmpty()
+            effects.calls().single().items.map { it.request } shouldContainExactly List(2) { "r-b" }
+        }
+
         test("after a target reported no space, its calls grow gradually until all pieces fit again") {
             val queue = queue("t1", spec = SPEC.copy(resultSpaceBytes = 8_000_000))
             val call = queue.submit(job("a", 8, bytes = 900_000), 0).calls().single()
--- a/src/test/kotlin/front/EventSplitterSpec.kt
+++ b/src/test/kotlin/front/EventSplitterSpec.kt
@@ -14,6 +14,14 @@
 
 class EventSplitterSpec :
     FunSpec({
+        test("data without the end of an event is too long at some point") {
+            val splitter = EventSplitter()
+            repeat(4) { splitter.add(Unpooled.wrappedBuffer(ByteArray(64 * 1024) { 'x'.code.toByte() })) }
+            splitter.isTooLong shouldBe false
+            splitter.add(Unpooled.wrappedBuffer(ByteArray(1)))
+            splitter.isTooLong shouldBe true
+        }
+
         test("only complete events are passed on, and the id of the last one is known") {
             checkAll(histories(seed = 41), Arb.long()) { seed ->
                 val random = Random(seed)
--- a/src/test/kotlin/web/ForwardSpec.kt
+++ b/src/test/kotlin/web/ForwardSpec.kt
@@ -265,6 +265,26 @@
             server.close()
         }
 
+        test("a server that closes still answers the requests that have arrived, read or not, and closes idle ones") {
+            val unanswered = ConcurrentLinkedQueue<IncomingRequest>()
+            val server = startRequestServer("127.0.0.1:0", group, systemClock(), { limits }) { unanswered += it }
+            val sockets = List(2) { Socket("127.0.0.1", server.port) }
+            val idle = Socket("127.0.0.1", server.port)
+            sockets[0].write("GET /read HTTP/1.1\r\nHost: a\r\n\r\n")
+            while (unanswered.isEmpty()) Thread.sleep(1)
+            val release = CountDownLatch(1)
+            group.execute { release.await() }
+            sockets[1].write("GET /unread HTTP/1.1\r\nHost: a\r\n\r\n")
+            val waiting = server.closeWhenAnswered()
+            release.countDown()
+            waiting.get(REPLY_TIMEOUT_S, TimeUnit.SECONDS) shouldBe 2
+            idle.getInputStream().readBytes().size shouldBe 0
+            group.execute { unanswered.forEach { it.reply(200) } }
+            sockets.forEach { it.getInputStream().readBytes().decodeToString() shouldStartWith "HTTP/1.1 200" }
+            server.closeWhenAnswered().get(REPLY_TIMEOUT_S, TimeUnit.SECONDS) shouldBe 0
+            server.close()
+        }
+
         test("oversized heads are rejected with 431 and oversized bodies with 413") {
             exchange("GET /a HTTP/1.1\r\nHost: a\r\nX: ${"y".repeat(3_000)}\r\n\r\n") shouldStartWith "HTTP/1.1 431"
             exchange("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n") shouldStartWith "HTTP/1.1 413"
