Tick less often on hosts without a queue, and check timeouts of connections less often

Change: 25 ms ticks only while the host runs a queue, 50 ms with requests in progress, 100 ms otherwise; the read order is computed when the members change; timeouts of connections are checked twice a second, the loop's lag ten times.

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -48,7 +48,9 @@
 import java.util.Random
 import java.util.concurrent.CompletableFuture
 
-private const val TICK_MS = 25L
+private const val QUEUE_TICK_MS = 25L // while this host runs a queue of a pool
+private const val REQUEST_TICK_MS = 50L // while it has requests in progress
+private const val IDLE_TICK_MS = 100L
 private const val PROBE_INTERVAL_MS = 400L // a dead host is removed from address responses within a few intervals
 private const val QUARANTINE_MS = 60_000L // a request that crashes targets is retried within seconds
 private const val QUARANTINE_CAPACITY = 4_096
@@ -115,6 +117,8 @@
     private val servers = ArrayList<RequestServer>()
 
     private var publishedState = -1L to -1L
+    private var readOrderFor = -1L
+    private var knownReadOrder = 0
     private var loggedMembers: Map<String, String> = emptyMap()
 
     @Volatile
@@ -156,7 +160,7 @@
         listen(settings.directoryAddress, { RequestLimits() }, ::onAddressRequest)
         metricsPort?.let { listen("${settings.ip}:$it", { RequestLimits() }, ::onMetricsRequest) }
         registerGauges()
-        controlLoop.every(TICK_MS, ::tick)
+        controlLoop.post(::tickRepeatedly)
         storeAdapter.start(settings.name, settings.linkAddress)
         logger.info("host {} serves at {}", settings.name, settings.requestAddress)
     }
@@ -254,6 +258,19 @@
         publishState()
     }
 
+    private fun tickRepeatedly() {
+        try {
+            tick()
+        } finally {
+            val delayMs = when {
+                stages.hasQueuedWork -> QUEUE_TICK_MS
+                flows.inProgress > 0 -> REQUEST_TICK_MS
+                else -> IDLE_TICK_MS
+            }
+            controlLoop.after(delayMs, ::tickRepeatedly)
+        }
+    }
+
     /** Reads the configuration from the store at once. */
     internal fun readConfigNow() = storeAdapter.readConfigNow()
 
@@ -454,9 +471,13 @@
     override fun onHosts(addresses: List<String>) = membership.setSeeds((addresses + settings.seedAddresses).distinct())
 
     override fun readOrder(): Int {
+        if (readOrderFor == membership.changes) return knownReadOrder
         val name = "target-reader"
         val ownScore = rendezvous(name, self.host)
-        return membership.live().count { it.host != self.host && !it.leaving && rendezvous(name, it.host) < ownScore }
+        readOrderFor = membership.changes
+        knownReadOrder =
+            membership.live().count { it.host != self.host && !it.leaving && rendezvous(name, it.host) < ownScore }
+        return knownReadOrder
     }
 
     override fun owners(): List<Member> = membership.live().filter {
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -77,6 +77,9 @@
     /** Number of pieces waiting in the queues of this host. */
     val waiting: Int get() = queues.values.sumOf { it.waiting }
 
+    /** Whether a queue of this host has pieces that wait or run. */
+    val hasQueuedWork: Boolean get() = queues.values.any { it.waiting > 0 || it.calls > 0 }
+
     /** Number of jobs of other hosts in the queues of this one. */
     val remoteJobs: Int get() = repliesToRemoteJobs.size
 
--- a/src/main/kotlin/web/LoopLag.kt
+++ b/src/main/kotlin/web/LoopLag.kt
@@ -8,7 +8,7 @@
 import org.sesamerouter.clock.Clock
 import java.util.concurrent.TimeUnit
 
-private const val INTERVAL_MS = 50L
+private const val INTERVAL_MS = 100L
 private const val TOLERANCE_MS = 50L // timers of a busy host are this late at times
 
 /** Estimates from the [ticks] of a timer how long data may have waited to be read. */
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -34,7 +34,7 @@
 
 private const val LISTEN_BACKLOG = 1_024
 private const val MAX_ACCEPTS_PER_ROUND = 16 // the default of Netty for listening sockets
-private const val TIMEOUT_CHECK_MS = 250L // timeouts of callers are detected at most this late
+private const val TIMEOUT_CHECK_MS = 500L // timeouts of callers are detected at most this late
 private const val LOW_WATERMARK_BYTES = 32 * 1024
 private const val HIGH_WATERMARK_BYTES = 128 * 1024
 
