--- a/src/main/kotlin/platform/PlatformSettings.kt
+++ b/src/main/kotlin/platform/PlatformSettings.kt
@@ -40,11 +40,22 @@
 data class SettingsError(val message: String)
 
 private const val DEFAULT_GRACE_S = 8.0
-private const val DEFAULT_ADDRESS_TTL_S = 5L
+private const val DEFAULT_ADDRESS_TTL_S = 5.0
 private const val MAX_ADDRESS_TTL_MS = 2_000L // callers follow a change of hosts within this time
 private const val DEFAULT_RETRY_SHARE = 0.1
 private const val DEFAULT_RETRY_SLACK = 10.0
 private const val MS_PER_S = 1_000
+private const val MAX_PORT = 65_535
+private val NUMBERS = listOf("bounds.grace-s", "bounds.ttl_max_s", "bounds.retry-ratio", "bounds.retry-slack")
+
+private fun isValidNumber(text: String): Boolean = text.toDoubleOrNull()?.let { it >= 0 && it.isFinite() } ?: false
+
+/** Returns the first port of the range [text]; null if it is not a range of ports. */
+private fun firstPort(text: String): Int? {
+    val ports = text.split(',').map { it.trim().toIntOrNull() ?: return null }
+    val isRange = ports.size == 2 && ports[0] <= ports[1] && ports.all { it in 1..MAX_PORT }
+    return if (isRange) ports[0] else null
+}
 
 /** Parses the settings in [text]. */
 fun parsePlatformSettings(text: String): Result<FrontSettings, SettingsError> {
@@ -66,10 +77,15 @@
         return Err(SettingsError("missing settings: ${missing.joinToString()}; add them to the settings file"))
     }
 
+    val invalid = NUMBERS.filter { name -> value(name)?.let { !isValidNumber(it) } ?: false }
+    if (invalid.isNotEmpty()) {
+        return Err(SettingsError("invalid settings: ${invalid.joinToString()}; expected numbers of at least 0"))
+    }
+
     fun required(name: String): String = checkNotNull(value(name))
-    val port = required("port-range").substringBefore(',').toIntOrNull()
-        ?: return Err(SettingsError("invalid port-range; expected FIRST,LAST"))
-    val ttlS = value("bounds.ttl_max_s")?.toLongOrNull() ?: DEFAULT_ADDRESS_TTL_S
+    val port = firstPort(required("port-range"))
+        ?: return Err(SettingsError("invalid port-range; expected FIRST,LAST with ports from 1 to $MAX_PORT"))
+    val ttlS = value("bounds.ttl_max_s")?.toDouble() ?: DEFAULT_ADDRESS_TTL_S
     return Ok(
         FrontSettings(
             name = required("node"),
@@ -83,7 +99,7 @@
                 .map { "${it.substringBefore(':').trim()}:$port" },
             storeAddress = required("platform.address"),
             graceMs = ((value("bounds.grace-s")?.toDoubleOrNull() ?: DEFAULT_GRACE_S) * MS_PER_S).toLong(),
-            addressTtlMs = minOf(ttlS * MS_PER_S, MAX_ADDRESS_TTL_MS),
+            addressTtlMs = minOf((ttlS * MS_PER_S).toLong(), MAX_ADDRESS_TTL_MS),
             retryShare = value("bounds.retry-ratio")?.toDoubleOrNull() ?: DEFAULT_RETRY_SHARE,
             retrySlack = value("bounds.retry-slack")?.toDoubleOrNull() ?: DEFAULT_RETRY_SLACK,
         ),
--- a/src/test/kotlin/platform/PlatformDecodersSpec.kt
+++ b/src/test/kotlin/platform/PlatformDecodersSpec.kt
@@ -76,6 +76,18 @@
             fault.message shouldContain "platform.address"
         }
 
+        test("settings with a bad port range or a bad number are rejected with the name and what is expected") {
+            for (range in listOf("7740", "7755,7740", "0,7755", "a,b", "7740,70000", "7740,7741,7742")) {
+                val fault = parsePlatformSettings(SETTINGS.replace("7740,7755", range)).getError().shouldNotBeNull()
+                fault.message shouldContain "port-range"
+            }
+            for (number in listOf("soon", "-1", "NaN")) {
+                val fault = parsePlatformSettings("$SETTINGS\nbounds.ttl_max_s=$number").getError().shouldNotBeNull()
+                fault.message shouldContain "bounds.ttl_max_s"
+            }
+            parsePlatformSettings("$SETTINGS\nbounds.ttl_max_s=1.5").get()?.addressTtlMs shouldBe 1_500
+        }
+
         test("declarations are decoded: longest prefix match, shares, result space, API keys and limits") {
             val config = decodeServingConfig(CONFIG).shouldNotBeNull()
             config.version shouldBe 7
