--- /dev/null
+++ b/src/main/kotlin/front/DecisionLines.kt
@@ -0,0 +1,48 @@
+/*
+ * The lines of the decision log for decisions about requests and for changes of targets.
+ */
+package org.sesamerouter.front
+
+import org.sesamerouter.discovery.EntryChange
+import org.sesamerouter.serving.FlowEffect
+
+/** Writes a send or a rejection that was decided at [now] with targets read [targetsAgeMs] ago. */
+internal fun DecisionLog.writeDecision(effect: FlowEffect, now: Long, targetsAgeMs: Long) {
+    when (effect) {
+        is FlowEffect.Send -> write(
+            "send",
+            "flow" to effect.send.flow,
+            "send" to effect.send.number,
+            "target" to effect.target.id,
+            "inputs" to effect.inputs.size,
+            "left-ms" to effect.expiresAtMs - now,
+            "targets-age-ms" to targetsAgeMs,
+        )
+
+        is FlowEffect.Reject -> write(
+            "reject",
+            "flow" to effect.flow,
+            "status" to effect.status,
+            "reason" to effect.reason,
+            "retry-after-ms" to effect.retryAfterMs,
+            "stages-ms" to effect.stageMs.joinToString(","),
+            "targets-age-ms" to targetsAgeMs,
+        )
+
+        else -> Unit
+    }
+}
+
+/** Writes the [changes] of targets that were read in [era] of the store, by this host if [isLocalRead]. */
+internal fun DecisionLog.writeTargets(changes: List<EntryChange>, era: Long, isLocalRead: Boolean) = changes.forEach {
+    write(
+        "target",
+        "target" to it.id,
+        "service" to it.entry?.service,
+        "draining" to it.entry?.isDraining,
+        "gone" to (it.entry == null),
+        "offset" to it.offset,
+        "era" to era,
+        "own" to isLocalRead,
+    )
+}
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import org.sesamerouter.batching.JobOutcome
 import org.sesamerouter.clock.Clock
 import org.sesamerouter.clock.systemClock
@@ -22,16 +21,12 @@
 import org.sesamerouter.membership.Membership
 import org.sesamerouter.membership.PeerLink
 import org.sesamerouter.pipeline.RetryBudget
-import org.sesamerouter.platform.ADDRESSES_PATH
 import org.sesamerouter.platform.FrontSettings
-import org.sesamerouter.platform.READY_PATH
 import org.sesamerouter.platform.StoreClient
 import org.sesamerouter.platform.decodeServingConfig
-import org.sesamerouter.platform.encodeAddresses
 import org.sesamerouter.quarantine.Quarantine
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.routing.TargetNotice
-import org.sesamerouter.routing.TargetPauses
 import org.sesamerouter.routing.rendezvous
 import org.sesamerouter.serving.FlowContext
 import org.sesamerouter.serving.FlowEffect
@@ -62,9 +57,6 @@
 private const val STOP_MARGIN_MS = 600L // ends this long before the process would be killed
 private const val STOP_REJECT_UNSENT_MS = 1_200L // a request sent with less time left would hardly complete
 private const val STOP_POLL_MS = 50L
-private const val OK = 200
-private const val NOT_FOUND = 404
-private const val UNAVAILABLE = 503
 
 /** A running host. */
 class FrontHost internal constructor(initialSettings: FrontSettings, private val metricsPort: Int?) :
@@ -84,9 +76,9 @@
     private val client = ForwardClient(eventLoop, clock)
     private val metrics = FrontMetrics()
     internal val directory = TargetDirectory()
+    private val usableTargets = UsableTargets(directory)
     internal val engines = EngineTable()
     private val serviceTargets = ServiceTargets()
-    private val pauses = TargetPauses()
     internal val membership = Membership(initialMember(), PROBE_INTERVAL_MS, Random())
     internal val link = PeerLink(settings.linkAddress, eventLoop)
     internal val peers = PeerClient(link, membership, controlLoop, clock, log)
@@ -111,9 +103,6 @@
         settings.dataCentre,
         ::newBudget,
     )
-    private var activeTargets: List<TargetEntry> = emptyList()
-    private var targetsByService: Map<String, List<TargetEntry>> = emptyMap()
-    private var targetsByAddress: Map<String, TargetEntry> = emptyMap()
     private val servers = ArrayList<RequestServer>()
 
     private var publishedState = -1L to -1L
@@ -156,9 +145,10 @@
         membership.setSeeds(settings.seedAddresses)
         peers.onUnresponsive = stages::onOwnerLost
         listen(settings.requestAddress, { config?.limits ?: RequestLimits() }, exchanges::onRequest)
-        listen(settings.readyAddress, { RequestLimits() }, ::onReadyRequest)
-        listen(settings.directoryAddress, { RequestLimits() }, ::onAddressRequest)
-        metricsPort?.let { listen("${settings.ip}:$it", { RequestLimits() }, ::onMetricsRequest) }
+        val pages = StatusPages({ isReady }, { addresses }, { settings.addressTtlMs }, metrics)
+        listen(settings.readyAddress, { RequestLimits() }, pages::onReadyRequest)
+        listen(settings.directoryAddress, { RequestLimits() }, pages::onAddressRequest)
+        metricsPort?.let { listen("${settings.ip}:$it", { RequestLimits() }, pages::onMetricsRequest) }
         registerGauges()
         controlLoop.post(::tickRepeatedly)
         storeAdapter.start(settings.name, settings.linkAddress)
@@ -252,7 +242,7 @@
         membership.onTick(now).forEach(link::sendProbe)
         peers.onTick(now)
         storeAdapter.onTick(now)
-        val isPauseOver = pauses.onTick(now)
+        val isPauseOver = usableTargets.onTick(now)
         if (directory.onTick(now) || isPauseOver) onTargetsChanged(now)
         peerUpdates.onTick(now)
         publishState()
@@ -298,33 +288,6 @@
         log.write("members", "changed" to changed, "known" to statuses.size)
     }
 
-    private fun onReadyRequest(request: IncomingRequest) {
-        val status = when {
-            request.uri.substringBefore('?') != READY_PATH -> NOT_FOUND
-            isReady -> OK
-            else -> UNAVAILABLE
-        }
-        request.reply(status)
-    }
-
-    private fun onAddressRequest(request: IncomingRequest) {
-        if (request.uri.substringBefore('?') != ADDRESSES_PATH) {
-            request.reply(NOT_FOUND)
-            return
-        }
-        val known = addresses
-        if (known.isEmpty()) {
-            request.reply(UNAVAILABLE)
-        } else {
-            val headers = DefaultHttpHeaders().set("Content-Type", "application/json")
-            request.reply(OK, encodeAddresses(known, settings.addressTtlMs), headers)
-        }
-    }
-
-    private fun onMetricsRequest(request: IncomingRequest) {
-        request.reply(OK, metrics.scrape().toByteArray(), DefaultHttpHeaders().set("Content-Type", "text/plain"))
-    }
-
     override fun post(event: FlowEvent) = controlLoop.post { post(event, clock.nowMs()) }
 
     private fun post(event: FlowEvent, now: Long) {
@@ -355,41 +318,13 @@
             }
 
             else -> {
-                logDecision(effect, now)
+                log.writeDecision(effect, now, now - directory.lastContiguousReadMs)
+                if (effect is FlowEffect.Send) metrics.sends.increment()
                 eventLoop.execute { exchanges.apply(effect) }
             }
         }
     }
 
-    private fun logDecision(effect: FlowEffect, now: Long) {
-        when (effect) {
-            is FlowEffect.Send -> {
-                metrics.sends.increment()
-                log.write(
-                    "send",
-                    "flow" to effect.send.flow,
-                    "send" to effect.send.number,
-                    "target" to effect.target.id,
-                    "inputs" to effect.inputs.size,
-                    "left-ms" to effect.expiresAtMs - now,
-                    "targets-age-ms" to now - directory.lastContiguousReadMs,
-                )
-            }
-
-            is FlowEffect.Reject -> log.write(
-                "reject",
-                "flow" to effect.flow,
-                "status" to effect.status,
-                "reason" to effect.reason,
-                "retry-after-ms" to effect.retryAfterMs,
-                "stages-ms" to effect.stageMs.joinToString(","),
-                "targets-age-ms" to now - directory.lastContiguousReadMs,
-            )
-
-            else -> Unit
-        }
-    }
-
     private fun onStageEnded(job: String, outcome: JobOutcome) {
         if (outcome.failure != null) log.write("stage-failed", "job" to job, "why" to outcome.failure)
         post(FlowEvent.StageEnded(job, outcome), clock.nowMs())
@@ -420,28 +355,14 @@
         val (changes, forPeers) = directory.onRead(read, ageMs, now)
         if (isLocalRead && wasReady) peerUpdates.onLocalRead(read, forPeers)
         if (changes.isEmpty() && wasReady) return
-        changes.forEach {
-            log.write(
-                "target",
-                "target" to it.id,
-                "service" to it.entry?.service,
-                "draining" to it.entry?.isDraining,
-                "gone" to (it.entry == null),
-                "offset" to it.offset,
-                "era" to read.era,
-                "own" to isLocalRead,
-            )
-        }
+        log.writeTargets(changes, read.era, isLocalRead)
         onTargetsChanged(now)
     }
 
     private fun onTargetsChanged(now: Long) {
         val all = directory.targets.values
-        val endedTargets = activeTargets.filter { directory.targets[it.id]?.startTimeMs != it.startTimeMs }
-        endedTargets.forEach { post(FlowEvent.TargetDied(it.id, it.startTimeMs), now) }
-        activeTargets = all.filter { !it.isDraining }
-        targetsByService = activeTargets.filter { !pauses.isPaused(it, now) }.groupBy { it.service }
-        targetsByAddress = all.associateBy { it.address }
+        val ended = usableTargets.refresh(now)
+        ended.forEach { post(FlowEvent.TargetDied(it.id, it.startTimeMs), now) }
         engines.update(all.filter { config?.services?.get(it.service)?.engine != null })
         serviceTargets.update(all)
         stages.onTargets(now)
@@ -451,7 +372,7 @@
     override fun onNotice(target: TargetEntry, notice: TargetNotice) = controlLoop.post {
         val now = clock.nowMs()
         if (notice.isLeaving) onLeaving(TargetIncarnation(target.id, target.startTimeMs), isLocal = true)
-        if (notice.pauseMs > 0 && pauses.pause(target, notice.pauseMs, now)) {
+        if (notice.pauseMs > 0 && usableTargets.pause(target, notice.pauseMs, now)) {
             log.write("target-paused", "target" to target.id, "service" to target.service, "ms" to notice.pauseMs)
             onTargetsChanged(now)
         }
@@ -466,7 +387,7 @@
         onTargetsChanged(now)
     }
 
-    override fun pauseLeftMs(target: TargetEntry): Long = pauses.leftMs(target, clock.nowMs())
+    override fun pauseLeftMs(target: TargetEntry): Long = usableTargets.pauseLeftMs(target, clock.nowMs())
 
     override fun onHosts(addresses: List<String>) = membership.setSeeds((addresses + settings.seedAddresses).distinct())
 
@@ -484,9 +405,9 @@
         !it.leaving && it.ready && it.status == MemberStatus.ALIVE && peers.isResponsive(it.host)
     }
 
-    override fun targets(service: String): List<TargetEntry> = targetsByService[service].orEmpty()
+    override fun targets(service: String): List<TargetEntry> = usableTargets.of(service)
 
-    override fun targetAt(address: String): TargetEntry? = targetsByAddress[address]
+    override fun targetAt(address: String): TargetEntry? = usableTargets.at(address)
 
     private fun newBudget(): RetryBudget {
         val hosts = maxOf(1, membership.live().size)
@@ -498,11 +419,9 @@
 
         override fun targets(service: String) = this@FrontHost.targets(service)
 
-        override fun pauseLeftMs(service: String): Long? =
-            activeTargets.filter { it.service == service }.map { this@FrontHost.pauseLeftMs(it) }
-                .filter { it > 0 }.minOrNull()
+        override fun pauseLeftMs(service: String): Long? = usableTargets.pauseLeftMs(service, clock.nowMs())
 
-        override fun dataCentreOf(address: String) = targetsByAddress[address]?.dataCentre
+        override fun dataCentreOf(address: String) = usableTargets.at(address)?.dataCentre
 
         override fun maxConnectionsPerTarget(service: String): Int {
             val limit = this@FrontHost.config?.services?.get(service)?.maxConnections ?: 1
