Try a store that is away no more often in a large fleet than in a small one

Change: the time to the next try grows with the number of live hosts, with a random share; the first that succeeds tells the others. StoreRetrySpec.

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -391,6 +391,8 @@
 
     override fun onHosts(addresses: List<String>) = membership.setSeeds((addresses + settings.seedAddresses).distinct())
 
+    override fun liveHosts(): Int = membership.live().size
+
     override fun readOrder(): Int {
         if (readOrderFor == membership.changes) return knownReadOrder
         val name = "target-reader"
--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -21,6 +21,7 @@
 import org.sesamerouter.platform.StoreClient
 import org.sesamerouter.platform.StoreOutcome
 import org.sesamerouter.platform.decodeTargetEntry
+import java.util.concurrent.ThreadLocalRandom
 
 private const val CONFIG_WAIT_MS = 4_000L
 private const val RETRY_MS = 300L
@@ -30,6 +31,16 @@
 private const val CONFIG_READERS = 3 // hosts that wait for a new configuration; the first two may be cut off
 private const val RECENT_READ_MS = 2_000L
 private const val HOSTS_RETRY_MS = 1_000L
+private const val HOSTS_WITHOUT_DELAY = 3 // so many retry in an interval, however large the fleet
+
+/**
+ * Returns the time until the next try of a call that failed, in a fleet of [hosts]. All hosts together try about as
+ * often as a small fleet; the first one that succeeds tells the others. [random] is between 0 and 1.
+ */
+internal fun storeRetryMs(baseMs: Long, hosts: Int, random: Double): Long {
+    val meanMs = baseMs * maxOf(1.0, hosts.toDouble() / HOSTS_WITHOUT_DELAY)
+    return (meanMs * (0.5 + random)).toLong()
+}
 
 /** Callbacks of [StoreAdapter]; all are called on the control thread. */
 internal interface StoreListener {
@@ -42,6 +53,9 @@
     /** Called with the link addresses of the other hosts. */
     fun onHosts(addresses: List<String>)
 
+    /** Returns the number of live hosts, including this one. */
+    fun liveHosts(): Int
+
     /** Returns this host's position in the order in which hosts read the targets; 0 reads first. */
     fun readOrder(): Int
 }
@@ -158,7 +172,7 @@
     }
 
     private fun onReadFailed(what: String, cause: String) {
-        nextReadMs = clock.nowMs() + RETRY_MS
+        nextReadMs = clock.nowMs() + retryMs(RETRY_MS)
         updateStoreState(isReachable = false, "$what: $cause")
     }
 
@@ -215,9 +229,12 @@
 
     private fun onConfigReadFailed(cause: String) {
         updateStoreState(isReachable = false, "configuration: $cause")
-        nextConfigReadMs = clock.nowMs() + RETRY_MS
+        nextConfigReadMs = clock.nowMs() + retryMs(RETRY_MS)
     }
 
+    private fun retryMs(baseMs: Long) =
+        storeRetryMs(baseMs, listener.liveHosts(), ThreadLocalRandom.current().nextDouble())
+
     private fun updateStoreState(isReachable: Boolean, what: String) {
         if (isStoreLost == !isReachable) return
         isStoreLost = !isReachable
@@ -235,7 +252,7 @@
                     controlLoop.post { onRegistered(appended.value) }
                     store.newest(KeyedTopic.HOSTS) { controlLoop.post { onHosts(it, number) } }
                 } else {
-                    controlLoop.after(HOSTS_RETRY_MS) { registerHost(number) }
+                    controlLoop.post { controlLoop.after(retryMs(HOSTS_RETRY_MS)) { registerHost(number) } }
                 }
             }
         }
@@ -250,7 +267,7 @@
         if (outcome is StoreOutcome.Done) {
             listener.onHosts(outcome.value.records.mapNotNull { it.text }.filter { it != linkAddress })
         } else {
-            controlLoop.after(HOSTS_RETRY_MS) { registerHost(number) }
+            controlLoop.after(retryMs(HOSTS_RETRY_MS)) { registerHost(number) }
         }
     }
 }
--- /dev/null
+++ b/src/test/kotlin/front/StoreRetrySpec.kt
@@ -0,0 +1,23 @@
+/*
+ * Tests how often hosts try again while the store is away.
+ */
+package org.sesamerouter.front
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+
+class StoreRetrySpec :
+    FunSpec({
+        test("store away: all hosts together try no more often in a large fleet than in a small one") {
+            fun triesPerS(hosts: Int) = hosts * 1_000.0 / storeRetryMs(300, hosts, 0.5)
+            for (hosts in listOf(9, 23, 95, 300)) triesPerS(hosts) shouldBeLessThanOrEqual 1.05 * triesPerS(3)
+        }
+
+        test("a host that is alone tries again after the base time, more or less by half") {
+            storeRetryMs(300, 1, 0.0) shouldBe 150
+            storeRetryMs(300, 1, 0.5) shouldBe 300
+            storeRetryMs(300, 1, 1.0) shouldBeLessThanOrEqual 450
+        }
+    })
