--- a/src/main/kotlin/front/PeerUpdateAdapter.kt
+++ b/src/main/kotlin/front/PeerUpdateAdapter.kt
@@ -37,6 +37,8 @@
     private var plan: DisseminationPlan? = null
     private var plannedFor = 0L to 0L
     private var isFetching = false
+    private var isNewerVersionPending = false
+    private var sentVersion = -1L
 
     override fun onProbe(message: ProbeMessage, from: String) = host.controlLoop.post {
         host.membership.onMessage(message, from, host.clock.nowMs()).forEach(host.link::sendProbe)
@@ -161,7 +163,7 @@
 
     private fun send(recipients: Recipients, updates: List<ServingRequest.StateUpdate>) = host.peers.broadcast(
         recipients.hosts,
-        ServingRequest.StateUpdates(host.self.dataCentre, recipients.final, updates),
+        ServingRequest.StateUpdates(host.self.dataCentre, recipients.isFinal, updates),
     )
 
     private fun currentPlan(): DisseminationPlan {
@@ -171,10 +173,8 @@
         return DisseminationPlan(host.self, otherHosts() + host.self).also { plan = it }
     }
 
-    private var sentVersion = -1L
-
     private fun onUpdates(message: ServingRequest.StateUpdates) {
-        if (!message.final) {
+        if (!message.isFinal) {
             updatesToRelay.getOrPut(message.dataCentre) { ArrayList() } += message.updates
             val hasNewVersion = message.updates.any { it.configVersion > version() }
             if (hasNewVersion || message.updates.any { it.isUrgent }) nextRelayMs = 0
@@ -212,8 +212,6 @@
         return others.filter { it.revision == newest }.randomOrNull()?.host
     }
 
-    private var isNewerVersionPending = false
-
     private fun version() = host.config?.version ?: -1
 
     private fun otherHosts() =
--- a/src/main/kotlin/membership/DisseminationPlan.kt
+++ b/src/main/kotlin/membership/DisseminationPlan.kt
@@ -9,8 +9,8 @@
 
 private const val MAX_DIRECT_HOSTS = 16 // above this, the receivers spend more on single messages than on their content
 
-/** Hosts that get the same message; a [final] one is not passed on by them. */
-data class Recipients(val hosts: List<String>, val final: Boolean)
+/** Hosts that get the same message; one that [isFinal] is not passed on by them. */
+data class Recipients(val hosts: List<String>, val isFinal: Boolean)
 
 /** The plan of the host [self] in a fleet of [usable] hosts, including itself. */
 class DisseminationPlan(private val self: Member, usable: List<Member>) {
@@ -22,20 +22,20 @@
 
     /** Recipients of the updates of this host itself. */
     val own: List<Recipients> = when {
-        isDirect -> listOf(Recipients(others.map { it.host }, final = true))
+        isDirect -> listOf(Recipients(others.map { it.host }, isFinal = true))
         relays[self.dataCentre] == self.host -> everywhere()
-        else -> listOf(Recipients(listOf(relays.getValue(self.dataCentre)), final = false))
+        else -> listOf(Recipients(listOf(relays.getValue(self.dataCentre)), isFinal = false))
     }.filter { it.hosts.isNotEmpty() }
 
     /** Recipients of updates that are not final and come from a host in [dataCentre]. */
     fun passedOnFrom(dataCentre: String): List<Recipients> {
         val recipients =
-            if (dataCentre == self.dataCentre) everywhere() else listOf(Recipients(localHosts, final = true))
+            if (dataCentre == self.dataCentre) everywhere() else listOf(Recipients(localHosts, isFinal = true))
         return recipients.filter { it.hosts.isNotEmpty() }
     }
 
     private fun everywhere(): List<Recipients> {
         val otherRelays = relays.filterKeys { it != self.dataCentre }.values.toList()
-        return listOf(Recipients(localHosts, final = true), Recipients(otherRelays, final = false))
+        return listOf(Recipients(localHosts, isFinal = true), Recipients(otherRelays, isFinal = false))
     }
 }
--- a/src/main/kotlin/membership/ServingMessages.kt
+++ b/src/main/kotlin/membership/ServingMessages.kt
@@ -68,7 +68,7 @@
     }
 
     /**
-     * Passes [updates] on; the recipients pass those of a message that is not [final] on to other hosts.
+     * Passes [updates] on; the recipients of a message that is not [isFinal] pass them on to other hosts.
      *
      * @property dataCentre data centre of the host that sends this message.
      */
@@ -76,7 +76,7 @@
     @SerialName("updates")
     data class StateUpdates(
         @CborLabel(1) val dataCentre: String,
-        @CborLabel(2) val final: Boolean,
+        @CborLabel(2) val isFinal: Boolean,
         @CborLabel(3) val updates: List<StateUpdate>,
     ) : ServingRequest
 
--- a/src/main/kotlin/web/RequestConnection.kt
+++ b/src/main/kotlin/web/RequestConnection.kt
@@ -57,13 +57,13 @@
     private var requestStartedMs = -1L
 
     /** Since when this connection may have waited to be accepted; counts for its first request. */
-    private var acceptableSinceMs = server.backlog.sinceMs ?: Long.MAX_VALUE
+    private var acceptPendingSinceMs = server.backlog.sinceMs ?: Long.MAX_VALUE
 
     fun onActivity() {
         lastActivityMs = server.clock.nowMs()
         if (requestStartedMs < 0) {
-            requestStartedMs = minOf(lastActivityMs - server.lag.sinceMs(lastActivityMs), acceptableSinceMs)
-            acceptableSinceMs = Long.MAX_VALUE
+            requestStartedMs = minOf(lastActivityMs - server.lag.sinceMs(lastActivityMs), acceptPendingSinceMs)
+            acceptPendingSinceMs = Long.MAX_VALUE
         }
     }
 
--- a/src/test/kotlin/membership/DisseminationPlanSpec.kt
+++ b/src/test/kotlin/membership/DisseminationPlanSpec.kt
@@ -30,7 +30,7 @@
         for (to in recipients.hosts) {
             sent.merge(from, 1, Int::plus)
             received.merge(to, 1, Int::plus)
-            if (recipients.final) continue
+            if (recipients.isFinal) continue
             views.getValue(to).passedOnFrom(members.getValue(from).dataCentre).forEach { send(to, it) }
         }
     }
@@ -69,7 +69,7 @@
                 // A relay passes the updates that it got within an interval on in one message.
                 val own = plans.values.sumOf { plan -> plan.own.sumOf { it.hosts.size } }
                 val passedOn = members.filter { m ->
-                    plans.getValue(m).own.any { it.final } && size > 16
+                    plans.getValue(m).own.any { it.isFinal } && size > 16
                 }.sumOf { relay ->
                     members.map { it.dataCentre }.distinct()
                         .sumOf { from -> plans.getValue(relay).passedOnFrom(from).sumOf { it.hosts.size } }
