Log and count what ended each response of a target

Now the line "ended" names how the target's response marked its end and whether data of an unfinished event was left, "send-failed" names the framing of a response that was broken off, and the counter forward_responses counts complete and broken-off responses by what ended them. A listener is told the framing with the head; a failed call has a short reason beside its cause. What is passed on to callers does not change.

--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -23,6 +23,8 @@
 import org.sesamerouter.serving.RouteKind
 import org.sesamerouter.serving.SendFailure
 import org.sesamerouter.serving.SendId
+import org.sesamerouter.web.BodyFraming
+import org.sesamerouter.web.BreakReason
 import org.sesamerouter.web.CallFailure
 import org.sesamerouter.web.CallProgress
 import org.sesamerouter.web.ForwardCall
@@ -139,7 +141,7 @@
         }
         if (inactiveMs < limit) return
         current.call?.cancel()
-        current.onFailed(CallFailure(CallProgress.SENT, "silent for $inactiveMs ms"))
+        current.onFailed(CallFailure(CallProgress.SENT, "silent for $inactiveMs ms", BreakReason.SILENT))
     }
 
     /**
@@ -164,15 +166,17 @@
         private var head: ResponseHead? = null
         private var status = 0
         private var headers: HttpHeaders? = null
+        private var framing = BodyFraming.LENGTH
         private var splitter: EventSplitter? = null
         private val failedBody = ByteArrayOutputStream()
 
-        override fun onHead(status: Int, headers: HttpHeaders) {
+        override fun onHead(status: Int, headers: HttpHeaders, framing: BodyFraming) {
             lastProgressMs = deps.clock.nowMs()
             val decoded = decodeResponseHead(status, headers)
             decoded.notice?.let { deps.context.onNotice(target, it) }
             this.status = status
             this.headers = headers
+            this.framing = framing
             head = decoded
             if (status !in SUCCESS_STATUSES || decoded.isNotRun) return
             if (!decoded.hasProof) {
@@ -222,7 +226,7 @@
 
         private fun giveUp(cause: String) {
             call?.cancel()
-            onFailed(CallFailure(CallProgress.SENT, cause))
+            onFailed(CallFailure(CallProgress.SENT, cause, BreakReason.INVALID))
         }
 
         override fun onEnd() {
@@ -230,11 +234,14 @@
             val decoded = head ?: return onFailed(CallFailure(CallProgress.SENT, "a response without a head"))
             when {
                 isStarted -> {
-                    splitter?.takeIncomplete()?.let { if (it.isReadable) incoming.write(it) else it.release() }
+                    val rest = splitter?.takeIncomplete()
+                    val inside = if (rest?.isReadable == true) ", inside an event" else ""
+                    rest?.let { if (it.isReadable) incoming.write(it) else it.release() }
                     incoming.end()
                     deps.remove()
                     deps.metrics.answerMs.record(elapsedMs())
-                    post(FlowEvent.ResponseCompleted(id, status))
+                    deps.metrics.countResponse("complete", framing.name)
+                    post(FlowEvent.ResponseCompleted(id, status, "ended by $framing$inside"))
                 }
 
                 decoded.isNotRun -> post(FlowEvent.SendFailed(id, SendFailure.NotRun(status), decoded.load))
@@ -252,7 +259,8 @@
         override fun onFailed(failure: CallFailure) {
             if (currentSend !== this && call != null) return
             currentSend = null
-            val cause = failure.cause
+            val cause = if (isStarted) "${failure.cause}, framed by $framing" else failure.cause
+            if (isStarted) deps.metrics.countResponse("broken off", failure.reason.name)
             val sendFailure = when {
                 isStarted -> SendFailure.Broken(splitter != null, splitter?.lastId, cause)
                 failure.progress == CallProgress.SENT -> SendFailure.Lost(cause)
--- a/src/main/kotlin/front/FrontMetrics.kt
+++ b/src/main/kotlin/front/FrontMetrics.kt
@@ -25,6 +25,10 @@
     /** Counts a request that ended with [outcome]. */
     fun countEnded(outcome: String) = registry.counter("sesamerouter.forward.ended", "outcome", outcome).increment()
 
+    /** Counts a response of a target by its [outcome], complete or broken off, and by what ended it. */
+    fun countResponse(outcome: String, endedBy: String) =
+        registry.counter("sesamerouter.forward.responses", "outcome", outcome, "ended.by", endedBy).increment()
+
     fun gauge(name: String, supplier: () -> Number) {
         Gauge.builder("sesamerouter.$name") { supplier() }.register(registry)
     }
--- a/src/main/kotlin/front/StageCallAdapter.kt
+++ b/src/main/kotlin/front/StageCallAdapter.kt
@@ -15,6 +15,7 @@
 import org.sesamerouter.platform.encodeStageFree
 import org.sesamerouter.platform.encodeStageRun
 import org.sesamerouter.routing.TargetNotice
+import org.sesamerouter.web.BodyFraming
 import org.sesamerouter.web.CallFailure
 import org.sesamerouter.web.ForwardCall
 import org.sesamerouter.web.ForwardClient
@@ -93,7 +94,7 @@
         }, ms, TimeUnit.MILLISECONDS)
     }
 
-    override fun onHead(status: Int, headers: HttpHeaders) {
+    override fun onHead(status: Int, headers: HttpHeaders, framing: BodyFraming) {
         this.status = status
         val head = decodeResponseHead(status, headers)
         isNotRun = head.isNotRun
--- a/src/main/kotlin/front/StartupProbe.kt
+++ b/src/main/kotlin/front/StartupProbe.kt
@@ -15,6 +15,7 @@
 import org.sesamerouter.platform.FrontSettings
 import org.sesamerouter.platform.ProbePlatform
 import org.sesamerouter.platform.READY_PATH
+import org.sesamerouter.web.BodyFraming
 import org.sesamerouter.web.CallFailure
 import org.sesamerouter.web.ForwardClient
 import org.sesamerouter.web.OutgoingRequest
@@ -95,7 +96,7 @@
     val status = CompletableFuture<Int>()
     private var received = 0
 
-    override fun onHead(status: Int, headers: HttpHeaders) {
+    override fun onHead(status: Int, headers: HttpHeaders, framing: BodyFraming) {
         received = status
     }
 
--- a/src/main/kotlin/platform/StoreClient.kt
+++ b/src/main/kotlin/platform/StoreClient.kt
@@ -12,6 +12,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
+import org.sesamerouter.web.BodyFraming
 import org.sesamerouter.web.CallFailure
 import org.sesamerouter.web.ForwardCall
 import org.sesamerouter.web.ForwardClient
@@ -230,7 +231,7 @@
     private var era = 0L
     private val body = ByteArrayOutputStream()
 
-    override fun onHead(status: Int, headers: HttpHeaders) {
+    override fun onHead(status: Int, headers: HttpHeaders, framing: BodyFraming) {
         this.status = status
         era = decodeStoreEra(headers)
     }
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -75,8 +75,8 @@
     /** The head of the response was passed on. */
     data class ResponseStarted(val send: SendId, val load: ReportedLoad?) : FlowEvent
 
-    /** The complete response was passed on. */
-    data class ResponseCompleted(val send: SendId, val status: Int) : FlowEvent
+    /** The complete response was passed on; [end] tells for the log how its end was marked. */
+    data class ResponseCompleted(val send: SendId, val status: Int, val end: String = "") : FlowEvent
 
     data class SendFailed(val send: SendId, val failure: SendFailure, val load: ReportedLoad? = null) : FlowEvent
 
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -256,7 +256,7 @@
         attempt.firstEventMs?.let { latency.onResponseEnd(flow.request.service, now - it) }
         serviceTargets.onResponse(attempt.target, now - attempt.sentMs, failed = false, now)
         quarantine.onSuccess(flow.request.fingerprint, now)
-        end(flow, "answered ${event.status}")
+        end(flow, listOf("answered ${event.status}", event.end).filter { it.isNotEmpty() }.joinToString(": "))
     }
 
     private fun onSendFailed(event: FlowEvent.SendFailed, now: Long) {
--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -62,13 +62,17 @@
     SENT,
 }
 
-/** Why a call ended without a complete response. */
-data class CallFailure(val progress: CallProgress, val cause: String)
+/** Why a call ended without a complete response: [reason] in short, [cause] in words. */
+data class CallFailure(
+    val progress: CallProgress,
+    val cause: String,
+    val reason: BreakReason = if (progress == CallProgress.UNREACHABLE) BreakReason.CLOSED else BreakReason.LOCAL,
+)
 
 /** Receives a response, on the event loop. */
 interface ResponseListener {
-    /** The head was received. */
-    fun onHead(status: Int, headers: HttpHeaders)
+    /** The head was received; [framing] tells how the end of the body is marked. */
+    fun onHead(status: Int, headers: HttpHeaders, framing: BodyFraming)
 
     /** A part of the body was received; [content] is released after this function returns. */
     fun onBody(content: ByteBuf)
--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -27,13 +27,14 @@
     private var listener: ResponseListener? = null
     private var call: ForwardCall? = null
     private var responseId: ResponseId? = null
+    private var method = HttpMethod.GET
     private var isRequestWritten = false
     private var isHeadReceived = false
     private var isSkippingResponse = false
     private var keepAlive = true
 
     /** Why the connection broke; null if it was closed in order. */
-    private var breakCause: String? = null
+    private var breakage: CallFailure? = null
     private var idleSinceMs = 0L
     private var idleTimeoutMs = ForwardClient.idleTimeoutMs(null)
 
@@ -47,12 +48,13 @@
         this.call = call
         call.connection = this
         responseId = request.responseId
+        method = HttpMethod.valueOf(request.method)
         isRequestWritten = false
         isHeadReceived = false
         isSkippingResponse = false
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
-            HttpMethod.valueOf(request.method),
+            method,
             request.uri,
             Unpooled.wrappedBuffer(request.body),
         )
@@ -74,8 +76,7 @@
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
         if (message.decoderResult().isFailure) {
-            breakCause = "invalid response: ${message.decoderResult().cause().message}"
-            ctx.close()
+            breakOff(BreakReason.INVALID, "invalid response: ${message.decoderResult().cause().message}")
             return
         }
         if (message is HttpResponse) onHead(message)
@@ -101,7 +102,7 @@
         keepAlive = HttpUtil.isKeepAlive(response)
         val announced = response.headers().get("Keep-Alive")?.let { KEEP_ALIVE_SECONDS.find(it) }
         idleTimeoutMs = ForwardClient.idleTimeoutMs(announced?.groupValues?.get(1)?.toLongOrNull())
-        activeListener.onHead(response.status().code(), response.headers())
+        activeListener.onHead(response.status().code(), response.headers(), framingOf(response, method))
     }
 
     private fun onContent(ctx: ChannelHandlerContext, content: HttpContent) {
@@ -111,7 +112,7 @@
             return
         }
         if (content.content().isReadable) activeListener.onBody(content.content())
-        if (content is LastHttpContent && listener === activeListener && breakCause == null) end(activeListener)
+        if (content is LastHttpContent && listener === activeListener && breakage == null) end(activeListener)
     }
 
     private fun end(activeListener: ResponseListener) {
@@ -128,14 +129,24 @@
         client.onConnectionClosed(this)
         val activeListener = listener
         listener = null
-        activeListener?.onFailed(CallFailure(CallProgress.SENT, breakCause ?: "connection closed"))
+        activeListener?.onFailed(
+            breakage ?: CallFailure(CallProgress.SENT, "connection closed", BreakReason.CLOSED),
+        )
         super.channelInactive(ctx)
     }
 
     /** After a reset, the decoder would treat the end of the connection as the end of a response without a length. */
     @Deprecated("Netty still calls this function.")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        breakCause = if (cause is IOException) "connection reset" else "invalid response: ${cause.message}"
-        ctx.close()
+        if (cause is IOException) {
+            breakOff(BreakReason.RESET, "connection reset")
+        } else {
+            breakOff(BreakReason.INVALID, "invalid response: ${cause.message}")
+        }
+    }
+
+    private fun breakOff(reason: BreakReason, cause: String) {
+        breakage = CallFailure(CallProgress.SENT, cause, reason)
+        channel.close()
     }
 }
--- a/src/test/kotlin/web/ResponseCollector.kt
+++ b/src/test/kotlin/web/ResponseCollector.kt
@@ -15,7 +15,7 @@
     private var status = 0
     private val body = StringBuilder()
 
-    override fun onHead(status: Int, headers: HttpHeaders) {
+    override fun onHead(status: Int, headers: HttpHeaders, framing: BodyFraming) {
         this.status = status
     }
 
