--- a/src/test/kotlin/front/Site.kt
+++ b/src/test/kotlin/front/Site.kt
@@ -31,7 +31,12 @@
        "target-latency-ms":4000,"priority":0,"service":"model","max-attempts":2,"public":false,"sticky":true,
        "stages":[{"service":"stock","after":[],"bytes":8000}],"resumable":true,"gap-aim-ms":400},
       {"name":"book","host":"shop.example","path-prefix":"/book/","kind":"unsafe","timeout-ms":5000,
-       "target-latency-ms":1000,"priority":1,"service":"desk","max-attempts":1,"public":false}],
+       "target-latency-ms":1000,"priority":1,"service":"desk","max-attempts":1,"public":false},
+      {"name":"chat","host":"shop.example","path-prefix":"/chat/","kind":"streaming","timeout-ms":9000,
+       "target-latency-ms":4000,"priority":1,"service":"model","max-attempts":1,"public":false,"sticky":true,
+       "gap-aim-ms":400},
+      {"name":"look","host":"shop.example","path-prefix":"/look/","kind":"safe","timeout-ms":5000,
+       "target-latency-ms":1000,"priority":1,"service":"desk","max-attempts":2,"public":false}],
      "services":[
       {"name":"model","health-path":"/health","max-conns":64,"engine":{"slots":64,"kv-capacity":600000}},
       {"name":"desk","health-path":"/health","max-conns":64},
@@ -47,7 +52,7 @@
 """.trimIndent()
 
 /** A platform with its stand-ins and the hosts that a test starts. */
-internal class Site(private val graceMs: Long = 8_000) : AutoCloseable {
+internal class Site(private val graceMs: Long = 8_000, private val retrySlack: Double = 10.0) : AutoCloseable {
     val platform = PlatformStandin()
     private val storeAddress = platform.storeAddress()
     private val hosts = ArrayList<FrontHost>()
@@ -72,7 +77,7 @@
             name = "host-${hosts.size}", ip = "127.0.0.1", dataCentre = "west", requestAddress = freeAddress(),
             readyAddress = freeAddress(), directoryAddress = freeAddress(), linkAddress = link,
             seedAddresses = settings.map { it.linkAddress } + link, storeAddress = storeAddress, graceMs = graceMs,
-            addressTtlMs = 2_000, retryShare = 0.1, retrySlack = 10.0,
+            addressTtlMs = 2_000, retryShare = 0.1, retrySlack = retrySlack,
         )
         settings += hostSettings
         metricsPorts += freeAddress().substringAfter(':').toInt()
