Number the arrivals of a request over both targets of a service in BrokenOffResponseSpec

The targets of a service counted the arrivals of a request apart, so that a target that should go on with a stream broke it off as well; and they closed connections after responses that had not announced it, which lost requests on reused connections.

--- a/src/test/kotlin/front/BrokenOffResponseSpec.kt
+++ b/src/test/kotlin/front/BrokenOffResponseSpec.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.runBlocking
 import java.net.Socket
 import java.util.concurrent.Callable
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.Future
@@ -142,6 +143,7 @@
 
 private fun head(framing: Framing, id: String, contentType: String, length: Int) =
     "HTTP/${framing.version} 200 OK\r\nRequest-Id: $id\r\nServer-Stamp: stamp of $id\r\nContent-Type: $contentType\r\n" +
+        "Connection: close\r\n" +
         when (framing) {
             Framing.LENGTH -> "Content-Length: $length\r\n\r\n"
             Framing.CHUNKS -> "Transfer-Encoding: chunked\r\n\r\n"
@@ -157,7 +159,7 @@
         val answer = if (case.goesOn) {
             head(Framing.CHUNKS, request.id, "text/event-stream", 0) + chunk(rest) + "0\r\n\r\n"
         } else {
-            "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ${request.id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ${request.id}\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
         }
         socket.send(answer)
         return
@@ -181,8 +183,11 @@
 /** Starts a host whose targets respond to the request with number N as the Nth of [cases] tells. */
 private fun startedSite(cases: List<Case>, isOver: CountDownLatch, graceMs: Long = 8_000): Pair<Site, List<RawTarget>> {
     val site = Site(graceMs, retrySlack = 10.0 * cases.size)
+    val arrivals = ConcurrentHashMap<String, Int>()
     val targets = List(4) {
-        RawTarget { request, socket -> respond(cases[request.id.removePrefix("c").toInt()], request, socket, isOver) }
+        RawTarget(arrivals) { request, socket ->
+            respond(cases[request.id.removePrefix("c").toInt()], request, socket, isOver)
+        }
     }
     targets.forEachIndexed { number, target ->
         site.register("t$number", if (number < 2) "model" else "desk", target.address)
--- a/src/test/kotlin/front/RawTargets.kt
+++ b/src/test/kotlin/front/RawTargets.kt
@@ -24,10 +24,15 @@
     val lastEventId: Int get() = headers["last-event-id"]?.toInt() ?: 0
 }
 
-/** A target whose responses are written by [respond]; the connection is closed when it returns. */
-internal class RawTarget(private val respond: (RawRequest, Socket) -> Unit) : AutoCloseable {
+/**
+ * A target whose responses are written by [respond]; the connection is closed when it returns. Targets with the same
+ * [arrivals] number the arrivals of a request together.
+ */
+internal class RawTarget(
+    private val arrivals: ConcurrentHashMap<String, Int> = ConcurrentHashMap(),
+    private val respond: (RawRequest, Socket) -> Unit,
+) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
-    private val numbers = ConcurrentHashMap<String, Int>()
     val address = "127.0.0.1:${server.localPort}"
     val received = ConcurrentLinkedQueue<RawRequest>()
 
@@ -51,7 +56,7 @@
             val headers = input.readHeaders()
             repeat(headers["content-length"]?.toInt() ?: 0) { input.read() }
             val id = headers["request-id"] ?: return
-            val request = RawRequest(id, headers, numbers.merge(id, 1, Int::plus) ?: 1)
+            val request = RawRequest(id, headers, arrivals.merge(id, 1, Int::plus) ?: 1)
             received += request
             respond(request, socket)
         } catch (_: IOException) {
