Treat a stream that ends inside an event as broken off

Cause: at the end of a target's body, CallerExchange passed on what EventSplitter had withheld of an unfinished event and ended the response as complete. It never asked whether the stream had ended between two events, whatever the framing: since a response may end with its connection, a crash looks like that end.

Now a stream that ends inside an event has failed as if its connection had broken: it is resumed after the last whole event where the route allows, and cut otherwise. No part of an event is written. Whole comments and blank lines belong to no event and are passed on. Every event stream is split, also on routes of another kind. A stream that may be resumed is passed on in chunks, since the length that its first target announced need not hold for the second; a target that goes on with anything but an event stream is given up.

--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -183,14 +183,25 @@
                 giveUp("a success without proof")
                 return
             }
+            val isEvents = headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(EVENT_STREAM_TYPE)
+            if (incoming.isResponseStarted && !isEvents) {
+                giveUp("no event stream to resume with")
+                return
+            }
             isStarted = true
             deps.metrics.firstByteMs.record(elapsedMs())
-            val isEvents = headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(EVENT_STREAM_TYPE)
-            if (isStream && isEvents) splitter = EventSplitter()
-            if (!incoming.isResponseStarted) incoming.startResponse(status, encodeResponseHeaders(headers))
+            if (isEvents) splitter = EventSplitter()
+            if (!incoming.isResponseStarted) startResponse(status, headers)
             post(FlowEvent.ResponseStarted(id, decoded.load))
         }
 
+        private fun startResponse(status: Int, headers: HttpHeaders) {
+            val encoded = encodeResponseHeaders(headers)
+            // What another target resumes may have another length.
+            if (splitter != null && request.route.isResumable) encoded.remove(HttpHeaderNames.CONTENT_LENGTH)
+            incoming.startResponse(status, encoded)
+        }
+
         override fun onBody(content: ByteBuf) {
             if (!isStarted) {
                 onFailedBody(content)
@@ -230,18 +241,20 @@
         }
 
         override fun onEnd() {
+            if (splitter?.isInsideEvent == true) {
+                val cause = "the stream ended inside an event"
+                return onFailed(CallFailure(CallProgress.SENT, cause, BreakReason.INSIDE_EVENT))
+            }
             currentSend = null
             val decoded = head ?: return onFailed(CallFailure(CallProgress.SENT, "a response without a head"))
             when {
                 isStarted -> {
-                    val rest = splitter?.takeIncomplete()
-                    val inside = if (rest?.isReadable == true) ", inside an event" else ""
-                    rest?.let { if (it.isReadable) incoming.write(it) else it.release() }
+                    splitter?.takeRest()?.let { if (it.isReadable) incoming.write(it) else it.release() }
                     incoming.end()
                     deps.remove()
                     deps.metrics.answerMs.record(elapsedMs())
                     deps.metrics.countResponse("complete", framing.name)
-                    post(FlowEvent.ResponseCompleted(id, status, "ended by $framing$inside"))
+                    post(FlowEvent.ResponseCompleted(id, status, "ended by $framing"))
                 }
 
                 decoded.isNotRun -> post(FlowEvent.SendFailed(id, SendFailure.NotRun(status), decoded.load))
--- a/src/main/kotlin/front/EventSplitter.kt
+++ b/src/main/kotlin/front/EventSplitter.kt
@@ -1,6 +1,6 @@
 /*
  * Splits the bytes of an event stream at event boundaries, so that a stream interrupted within an event can resume at
- * another target after the last complete event.
+ * another target after the last complete event, and no part of an event is passed on.
  */
 package org.sesamerouter.front
 
@@ -10,6 +10,7 @@
 
 private const val LINE_FEED = '\n'.code.toByte()
 private const val ID_FIELD = "id:"
+private const val COMMENT_PREFIX = ":"
 private const val MAX_EVENT_BYTES = 256 * 1024 // events are well below 1 KB
 
 /** Splits one event stream. Not thread-safe. */
@@ -35,8 +36,16 @@
         return Unpooled.wrappedBuffer(bytes, 0, end)
     }
 
+    /** Whether a stream that ends here ends inside an event; whole comments and blank lines belong to none. */
+    val isInsideEvent: Boolean
+        get() {
+            val lines = pending.toString(Charsets.UTF_8).split("\n")
+            val wholeLines = lines.dropLast(1).map { it.removeSuffix("\r") }
+            return lines.last().isNotEmpty() || wholeLines.any { it.isNotEmpty() && !it.startsWith(COMMENT_PREFIX) }
+        }
+
     /** Returns and clears the bytes after the last complete event. */
-    fun takeIncomplete(): ByteBuf = Unpooled.wrappedBuffer(pending.toByteArray()).also { pending.reset() }
+    fun takeRest(): ByteBuf = Unpooled.wrappedBuffer(pending.toByteArray()).also { pending.reset() }
 
     private fun endOfLastEvent(bytes: ByteArray): Int {
         for (i in bytes.size - 1 downTo 1) {
--- a/src/main/kotlin/web/ResponseEnd.kt
+++ b/src/main/kotlin/web/ResponseEnd.kt
@@ -33,6 +33,9 @@
     /** The target sent what is no response, or one that cannot be passed on. */
     INVALID,
 
+    /** The body ended as its framing tells, but inside an event of its stream. */
+    INSIDE_EVENT,
+
     /** The target sent nothing for too long. */
     SILENT,
 
--- a/src/test/kotlin/front/EventSplitterSpec.kt
+++ b/src/test/kotlin/front/EventSplitterSpec.kt
@@ -12,6 +12,10 @@
 import org.sesamerouter.histories
 import kotlin.random.Random
 
+private fun splitterOf(vararg parts: String) = EventSplitter().apply {
+    parts.forEach { add(Unpooled.wrappedBuffer(it.toByteArray())) }
+}
+
 class EventSplitterSpec :
     FunSpec({
         test("data without the end of an event is too long at some point") {
@@ -41,7 +45,20 @@
                 val whole = events.runningFold(0) { sum, event -> sum + event.length }.indexOfLast { it <= end }
                 passed.toString() shouldBe events.take(whole).joinToString("")
                 splitter.lastId shouldBe if (whole == 0) null else "$whole"
-                splitter.takeIncomplete().readableBytes() shouldBe end - passed.length
+                splitter.isInsideEvent shouldBe (end > passed.length)
+                splitter.takeRest().readableBytes() shouldBe end - passed.length
+            }
+        }
+
+        test("a stream that ends after an event, comments or blank lines does not end inside an event") {
+            val event = "id: 1\ndata: x\n\n"
+            for (rest in listOf("", "\n", "\r\n", ": last\n", ": one\r\n: two\r\n")) {
+                splitterOf(event + rest).isInsideEvent shouldBe false
+                splitterOf(event, rest).isInsideEvent shouldBe false
+            }
+            for (rest in listOf(":", ": comment", "d", "data: y", "data: y\n", "data: y\r\n", "data: y\r\n\r", ": one\nid: 2\n")) {
+                splitterOf(event + rest).isInsideEvent shouldBe true
+                splitterOf(event, rest).isInsideEvent shouldBe true
             }
         }
     })
