Take a response without a length as complete only if the target ended it in order

Callers could get a part of a response as the whole: Netty's decoder ends a response without a length whenever its channel becomes inactive. ForwardConnection knew of one such case, an exception while reading. A reset that shows at the write of the request, and this process closing the connection, counted as the end of the response.

Instead of listing what is not an end, the connection now keeps the one piece of evidence that is: the other side ended its data in order, which Netty reports before the decoder acts on it (half-closed connections are allowed, and closed by the last handler). A failed write and an end without that evidence are failures with a reason of their own.

--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -150,6 +150,7 @@
         val connecting = Bootstrap()
             .group(loop)
             .channel(NioSocketChannel::class.java)
+            .reportInputEnd()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
@@ -158,10 +159,13 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
+                    val inputEnd = InputEnd()
+                    val byteLimit = ResponseByteLimit()
                     channel.pipeline()
-                        .addLast(ResponseByteLimit())
+                        .addLast(inputEnd)
+                        .addLast(byteLimit)
                         .addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
-                        .addLast(ForwardConnection(channel, address, this@ForwardClient))
+                        .addLast(ForwardConnection(channel, address, this@ForwardClient, inputEnd, byteLimit))
                 }
             })
             .connect(socketAddress(address))
--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -22,8 +23,13 @@
 
 private val KEEP_ALIVE_SECONDS = Regex("""timeout=(\d+)""")
 
-internal class ForwardConnection(val channel: Channel, val address: String, private val client: ForwardClient) :
-    SimpleChannelInboundHandler<HttpObject>() {
+internal class ForwardConnection(
+    val channel: Channel,
+    val address: String,
+    private val client: ForwardClient,
+    private val inputEnd: InputEnd,
+    private val byteLimit: ResponseByteLimit,
+) : SimpleChannelInboundHandler<HttpObject>() {
     private var listener: ResponseListener? = null
     private var call: ForwardCall? = null
     private var responseId: ResponseId? = null
@@ -31,17 +37,16 @@
     private var isRequestWritten = false
     private var isHeadReceived = false
     private var isSkippingResponse = false
+    private var framing = BodyFraming.LENGTH
     private var keepAlive = true
 
-    /** Why the connection broke; null if it was closed in order. */
+    /** Why the connection broke; null if that does not show but in its end. */
     private var breakage: CallFailure? = null
     private var idleSinceMs = 0L
     private var idleTimeoutMs = ForwardClient.idleTimeoutMs(null)
 
     fun isReusable(now: Long): Boolean = channel.isActive && now - idleSinceMs < idleTimeoutMs
 
-    private val byteLimit get() = channel.pipeline().get(ResponseByteLimit::class.java)
-
     fun start(request: OutgoingRequest, listener: ResponseListener, call: ForwardCall) {
         byteLimit.isInResponse = false
         this.listener = listener
@@ -64,7 +69,7 @@
         }
         channel.writeAndFlush(message).addListener { write ->
             isRequestWritten = write.isSuccess
-            if (!write.isSuccess) channel.close()
+            if (!write.isSuccess) breakOff(BreakReason.RESET, "request not written: ${write.cause().message}")
         }
     }
 
@@ -102,7 +107,8 @@
         keepAlive = HttpUtil.isKeepAlive(response)
         val announced = response.headers().get("Keep-Alive")?.let { KEEP_ALIVE_SECONDS.find(it) }
         idleTimeoutMs = ForwardClient.idleTimeoutMs(announced?.groupValues?.get(1)?.toLongOrNull())
-        activeListener.onHead(response.status().code(), response.headers(), framingOf(response, method))
+        framing = framingOf(response, method)
+        activeListener.onHead(response.status().code(), response.headers(), framing)
     }
 
     private fun onContent(ctx: ChannelHandlerContext, content: HttpContent) {
@@ -112,9 +118,11 @@
             return
         }
         if (content.content().isReadable) activeListener.onBody(content.content())
-        if (content is LastHttpContent && listener === activeListener && breakage == null) end(activeListener)
+        if (content is LastHttpContent && listener === activeListener && isComplete()) end(activeListener)
     }
 
+    private fun isComplete() = breakage == null && (framing != BodyFraming.CONNECTION_END || inputEnd.isReached)
+
     private fun end(activeListener: ResponseListener) {
         listener = null
         byteLimit.isInResponse = false
@@ -129,13 +137,21 @@
         client.onConnectionClosed(this)
         val activeListener = listener
         listener = null
-        activeListener?.onFailed(
-            breakage ?: CallFailure(CallProgress.SENT, "connection closed", BreakReason.CLOSED),
-        )
+        activeListener?.onFailed(breakage ?: closedFailure())
         super.channelInactive(ctx)
     }
 
-    /** After a reset, the decoder would treat the end of the connection as the end of a response without a length. */
+    private fun closedFailure() = if (inputEnd.isReached) {
+        CallFailure(CallProgress.SENT, "connection closed", BreakReason.CLOSED)
+    } else {
+        CallFailure(CallProgress.SENT, "connection closed by this host", BreakReason.LOCAL)
+    }
+
+    /** Closes the connection at the end of its input, which the decoder has handled by now. */
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) ctx.close()
+    }
+
     @Deprecated("Netty still calls this function.")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
         if (cause is IOException) {
@@ -146,7 +162,7 @@
     }
 
     private fun breakOff(reason: BreakReason, cause: String) {
-        breakage = CallFailure(CallProgress.SENT, cause, reason)
+        if (breakage == null) breakage = CallFailure(CallProgress.SENT, cause, reason)
         channel.close()
     }
 }
