Take a reply without a length as complete only if the server ended it in order, in HttpClient too

The same fault as in ForwardConnection, in the client for the product's own targets, the log and operators' commands: after a reset, an invalid reply, a line over the limit or a close by this process, a reply without a length counted as complete. Replies of targets have an end line of their own and were an error instead of a lost connection; what fetch returns had no such check, so that an operator could be shown a part of a resource.

It now needs the same evidence, and a failed call names its cause instead of "connection closed".

--- a/src/main/kotlin/web/HttpClient.kt
+++ b/src/main/kotlin/web/HttpClient.kt
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -105,11 +106,13 @@
         val connecting = Bootstrap()
             .group(group)
             .channel(NioSocketChannel::class.java)
+            .reportInputEnd()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpClientCodec()).addLast(ClientConnection())
+                    val inputEnd = InputEnd()
+                    channel.pipeline().addLast(inputEnd).addLast(HttpClientCodec()).addLast(ClientConnection(inputEnd))
                 }
             })
             .connect(socketAddress(address))
@@ -185,9 +188,9 @@
             return
         }
         val connection = channel.pipeline().get(ClientConnection::class.java)
-        connection.begin(listener, call) { returnToPool(address, channel) }
+        connection.begin(HttpMethod.valueOf(request.method), listener, call) { returnToPool(address, channel) }
         channel.writeAndFlush(encode(address, request)).addListener { write ->
-            if (!write.isSuccess) channel.close()
+            if (!write.isSuccess) connection.breakOff("request not written: ${write.cause().message}")
         }
         if (!channel.isActive) connection.fail("connection already closed")
     }
@@ -208,14 +211,25 @@
     }
 }
 
-private class ClientConnection : SimpleChannelInboundHandler<HttpObject>() {
+private class ClientConnection(private val inputEnd: InputEnd) : SimpleChannelInboundHandler<HttpObject>() {
     private var listener: ReplyListener? = null
+    private var method = HttpMethod.GET
+    private var framing = BodyFraming.LENGTH
+
+    /** Why the connection broke; null if that does not show but in its end. */
+    private var breakCause: String? = null
+    private lateinit var channel: Channel
     private var call: ClientCall? = null
     private var onReusable: () -> Unit = {}
     private var keepAlive = true
     private val line = ByteArrayOutputStream()
 
-    fun begin(listener: ReplyListener, call: ClientCall, onReusable: () -> Unit) {
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        channel = ctx.channel()
+    }
+
+    fun begin(method: HttpMethod, listener: ReplyListener, call: ClientCall, onReusable: () -> Unit) {
+        this.method = method
         this.listener = listener
         this.call = call
         this.onReusable = onReusable
@@ -228,25 +242,34 @@
         if (call?.cancelled != true) activeListener.onFailed(sent = true, cause = cause)
     }
 
+    /** Closes the connection; the call fails for the reason [cause]. */
+    fun breakOff(cause: String) {
+        if (breakCause == null) breakCause = cause
+        channel.close()
+    }
+
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
         if (message.decoderResult().isFailure) {
-            ctx.close()
+            breakOff("invalid reply: ${message.decoderResult().cause().message}")
             return
         }
         if (message is HttpResponse) {
+            framing = framingOf(message, method)
             keepAlive = HttpUtil.isKeepAlive(message)
             listener?.onHead(message.status().code())
         }
-        if (message is HttpContent) readLines(ctx, message.content())
-        if (message is LastHttpContent) end(ctx)
+        if (message is HttpContent) readLines(message.content())
+        if (message is LastHttpContent && isComplete()) end(ctx)
     }
 
-    private fun readLines(ctx: ChannelHandlerContext, content: ByteBuf) {
+    private fun isComplete() = breakCause == null && (framing != BodyFraming.CONNECTION_END || inputEnd.isReached)
+
+    private fun readLines(content: ByteBuf) {
         while (content.isReadable) {
             val end = content.bytesBefore('\n'.code.toByte())
             val length = if (end < 0) content.readableBytes() else end
             if (line.size() + length > MAX_REPLY_LINE_BYTES) {
-                ctx.close()
+                breakOff("a line of over $MAX_REPLY_LINE_BYTES bytes")
                 return
             }
             content.readBytes(line, length)
@@ -272,10 +295,14 @@
         if (call?.cancelled != true) activeListener.onEnd()
     }
 
-    override fun channelInactive(ctx: ChannelHandlerContext) = fail("connection closed before the reply was complete")
+    override fun channelInactive(ctx: ChannelHandlerContext) =
+        fail(breakCause ?: "connection closed before the reply was complete")
 
-    @Deprecated("Netty still calls this function.")
-    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        ctx.close()
+    /** Closes the connection at the end of its input, which the decoder has handled by now. */
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) ctx.close()
     }
+
+    @Deprecated("Netty still calls this function.")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = breakOff("connection broken: $cause")
 }
