Answer the first request of a connection that was new when its host began to stop

Cause: drain() closed every connection without a request in progress, also one that was accepted and on which the first request was on its way; RequestServer already told the two apart, HttpServer did not. Now drain() closes idle connections that were used before; a new one closes with its first answer.

The new case of HttpServerSpec failed before (an empty reply) and passes.

--- a/src/main/kotlin/web/HttpServer.kt
+++ b/src/main/kotlin/web/HttpServer.kt
@@ -137,10 +137,13 @@
     /** Number of requests that were read and have not been answered. */
     val openCalls: Int get() = lifecycle.openCalls.get()
 
-    /** Closes idle connections now and the others with the answer to the last request that was read from them. */
+    /**
+     * Closes idle connections now and the others with the answer to the last request that was read from them. On a
+     * connection that was not used yet, a request is probably on its way.
+     */
     fun drain() {
         lifecycle.isDraining = true
-        onConnections { it.closeIfIdle() }
+        onConnections { if (it.wasUsed) it.closeIfIdle() }
     }
 
     /** Stops listening. Once this function has returned, no request is read any more on open connections either. */
@@ -243,11 +246,16 @@
     private val pipelined = ArrayDeque<HttpCall>()
     private var current: HttpCall? = null
 
+    /** Whether a request was read from this connection. */
+    var wasUsed = false
+        private set
+
     /** Whether the connection closes after the current response; requests read later are not handled. */
     private var isClosing = false
     private var isDiscarding = false
 
     override fun channelRead0(ctx: ChannelHandlerContext, request: FullHttpRequest) {
+        wasUsed = true
         if (isClosing) return
         if (request.decoderResult().isFailure) {
             val status = HttpResponseStatus.BAD_REQUEST
--- a/src/test/kotlin/web/HttpServerSpec.kt
+++ b/src/test/kotlin/web/HttpServerSpec.kt
@@ -113,6 +113,22 @@
             }
         }
 
+        // Guards against LOST: a request on its way on a new connection when its host begins to stop.
+        test("a connection that was not used yet when the server is drained gets its first request answered") {
+            withServer({ it.reply(200, "whole") }) { stopped, socket ->
+                Socket("127.0.0.1", stopped.port).use { later ->
+                    later.send("/later")
+                    later.readReply() // connections are accepted in order
+                }
+                stopped.drain()
+                group.forEach { it.submit {}.syncUninterruptibly() } // the server has closed what it closes
+                socket.send("/first")
+                val reply = socket.readToEnd()
+                reply shouldContain "connection: close"
+                reply shouldEndWith "whole"
+            }
+        }
+
         test("a request that runs when the server is drained is answered, and its connection is closed") {
             val calls = LinkedBlockingQueue<HttpCall>()
             withServer(calls::add) { stopped, socket ->
