Do not skip records of the store whose reply was cut

A read whose reply ended after its head of 16 bytes counted as "no records up to the end", and the position moved past records that were never read: a configuration or a target could be missed for good. Up to three bytes after the last record were ignored.

A reply that names a later end and has no records now leads to a read of the newest records, and one with bytes left over is unreadable. No caller is known to have met it.

--- a/src/main/kotlin/platform/StoreClient.kt
+++ b/src/main/kotlin/platform/StoreClient.kt
@@ -105,10 +105,16 @@
         val wait = if (waitMs > 0) "&wait-ms=$waitMs" else ""
         val uri = "/v1/log-read?topic=${topic.wireName}&part=0&from=$from$wait"
         return call("GET", uri, ByteArray(0), waitMs) { reply ->
-            done(reply.decodeWith { decodeRecords(it.body, from)?.copy(era = it.era) })
+            done(withoutGap(reply.decodeWith { decodeRecords(it.body, from)?.copy(era = it.era) }, from))
         }
     }
 
+    /** A reply without the records up to its end was cut: to go on from there would leave them out. */
+    private fun withoutGap(read: StoreOutcome<KeyedRecords>, from: Long): StoreOutcome<KeyedRecords> {
+        val isCut = read is StoreOutcome.Done && read.value.records.isEmpty() && read.value.end > from
+        return if (isCut) StoreOutcome.HistoryTruncated else read
+    }
+
     /** Appends [value] with [key] to [topic]; [done] receives the era of the store that holds it. */
     fun append(topic: KeyedTopic, key: String, value: ByteArray, done: (StoreOutcome<Long>) -> Unit) {
         val name = key.toByteArray()
@@ -196,7 +202,7 @@
     null
 }
 
-/** Decodes the reply to a read: the end offset, the first offset, then length-prefixed records. */
+/** Decodes the reply to a read: the end offset, the first offset, then length-prefixed records; null if it was cut. */
 internal fun decodeRecords(bytes: ByteArray, from: Long): KeyedRecords? {
     if (bytes.size < READ_HEADER_BYTES) return null
     val buffer = ByteBuffer.wrap(bytes)
@@ -204,7 +210,8 @@
     buffer.getLong()
     val records = ArrayList<KeyedRecord>()
     var offset = from
-    while (buffer.remaining() >= Int.SIZE_BYTES) {
+    while (buffer.hasRemaining()) {
+        if (buffer.remaining() < Int.SIZE_BYTES) return null
         val size = buffer.getInt()
         if (size < 0 || size > buffer.remaining()) return null
         val record = ByteArray(size).also(buffer::get)
--- a/src/test/kotlin/platform/PlatformDecodersSpec.kt
+++ b/src/test/kotlin/platform/PlatformDecodersSpec.kt
@@ -140,6 +140,7 @@
                 listOf(Triple("a", "one", 10L), Triple("b", null, 11L))
             decodeRecords(head + byteArrayOf(0, 0, 0, 9, 1), 10).shouldBeNull()
             decodeRecords(byteArrayOf(1), 10).shouldBeNull()
+            for (cut in 1..3) decodeRecords(head + record("a", "one") + ByteArray(cut), 10).shouldBeNull()
         }
 
         test("reserved and hop-by-hop headers of a caller are not forwarded to a target, other headers are") {
