Pass a response without a length on without one

A target's response with neither a length nor chunks ends with its connection, which a crash brings about as well: between two events, or in a plain body, nothing in the bytes tells.

Such a response, a failed one too, is now passed on with "Connection: close" and ends with the caller's connection. Until its end is known, closing that connection resets it, whoever closes it: an abort, the deadline, a stop or a kill. A caller of HTTP/1.0 gets every response without a length so, since it does not know chunks.

Weighed: such a response costs its caller a connection, and a reset may destroy events that the caller has not read; the alternative claims that a crash was the end.

--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -6,6 +6,7 @@
 package org.sesamerouter.front
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import org.sesamerouter.clock.Clock
@@ -53,7 +54,12 @@
 )
 
 /** A complete error response of a target. */
-private class BufferedResponse(val status: Int, val headers: HttpHeaders, val body: ByteArray)
+private class BufferedResponse(
+    val status: Int,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+    val framing: BodyFraming,
+)
 
 internal class CallerExchange(
     private val request: ForwardRequest,
@@ -121,7 +127,13 @@
     fun deliverBuffered() {
         val response = buffered ?: return abort()
         deps.remove()
-        incoming.reply(response.status, response.body, response.headers)
+        if (response.framing == BodyFraming.CONNECTION_END) {
+            incoming.startResponse(response.status, response.headers, response.framing)
+            incoming.write(Unpooled.wrappedBuffer(response.body))
+            incoming.end()
+        } else {
+            incoming.reply(response.status, response.body, response.headers)
+        }
     }
 
     fun abort() {
@@ -199,7 +211,7 @@
             val encoded = encodeResponseHeaders(headers)
             // What another target resumes may have another length.
             if (splitter != null && request.route.isResumable) encoded.remove(HttpHeaderNames.CONTENT_LENGTH)
-            incoming.startResponse(status, encoded)
+            incoming.startResponse(status, encoded, framing)
         }
 
         override fun onBody(content: ByteBuf) {
@@ -260,8 +272,8 @@
                 decoded.isNotRun -> post(FlowEvent.SendFailed(id, SendFailure.NotRun(status), decoded.load))
 
                 decoded.hasProof -> {
-                    buffered =
-                        BufferedResponse(status, encodeResponseHeaders(checkNotNull(headers)), failedBody.toByteArray())
+                    val encoded = encodeResponseHeaders(checkNotNull(headers))
+                    buffered = BufferedResponse(status, encoded, failedBody.toByteArray(), framing)
                     post(FlowEvent.SendFailed(id, SendFailure.FailedAnswer(status), decoded.load))
                 }
 
--- a/src/main/kotlin/web/RequestConnection.kt
+++ b/src/main/kotlin/web/RequestConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.channel.nio.AbstractNioChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
@@ -145,6 +146,7 @@
             startedMs,
             requests++ > 0,
             HttpUtil.isKeepAlive(request),
+            request.protocolVersion() >= HttpVersion.HTTP_1_1,
             this,
         )
         body.reset()
@@ -172,6 +174,16 @@
     /** Whether requests that were received wait for the answer to the one before. */
     val hasPipelined: Boolean get() = pipelined.isNotEmpty()
 
+    /**
+     * Whether closing the connection resets it. A caller takes an orderly close for the end of a response that has
+     * neither a length nor chunks, so that only the last step of such a response may close in order.
+     */
+    var resetsAtClose = false
+        set(value) {
+            field = value
+            channel.config().setOption(ChannelOption.SO_LINGER, if (value) 0 else -1)
+        }
+
     /** Whether a request was received on this connection. */
     val wasUsed: Boolean get() = requests > 0
 
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -65,6 +65,7 @@
     val startedMs: Long,
     val isOnKeptConnection: Boolean,
     private val keepAlive: Boolean,
+    private val knowsChunks: Boolean,
     private val connection: RequestConnection,
 ) {
     /** Called if the caller disconnects before the response is complete. */
@@ -105,20 +106,26 @@
         connection.onResponseEnd(this, closes)
     }
 
-    /** Starts a response whose body follows; it is chunked if [headers] has no length. */
-    fun startResponse(status: Int, headers: HttpHeaders) {
+    /**
+     * Starts a response whose body follows. Without a length in [headers] it has chunks, or ends with its connection if
+     * [framing] says so or the caller does not know chunks.
+     */
+    fun startResponse(status: Int, headers: HttpHeaders, framing: BodyFraming = BodyFraming.CHUNKS) {
         if (!isOpen || isResponseStarted) return
         isResponseStarted = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().add(headers)
         if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            endsWithConnection = framing == BodyFraming.CONNECTION_END || !knowsChunks
+            if (!endsWithConnection) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
+        if (endsWithConnection) connection.resetsAtClose = true
         closesAfterResponse = setConnectionClose(response.headers())
         connection.channel.writeAndFlush(response)
     }
 
     private var closesAfterResponse = false
+    private var endsWithConnection = false
 
     /** Writes a part of the body; takes ownership of [content]. */
     fun write(content: ByteBuf) {
@@ -128,6 +135,7 @@
     /** Ends the response. */
     fun end() {
         if (!isOpen) return
+        connection.resetsAtClose = false
         connection.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
         connection.onResponseEnd(this, closesAfterResponse)
     }
@@ -139,7 +147,7 @@
     }
 
     private fun setConnectionClose(headers: HttpHeaders): Boolean {
-        val closes = !keepAlive || (connection.server.isClosing && !connection.hasPipelined)
+        val closes = !keepAlive || endsWithConnection || (connection.server.isClosing && !connection.hasPipelined)
         if (closes) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         return closes
     }
--- a/src/test/kotlin/front/BrokenOffResponseSpec.kt
+++ b/src/test/kotlin/front/BrokenOffResponseSpec.kt
@@ -205,6 +205,8 @@
         case.isResumed -> (answer.status to answer.isComplete to answer.body) shouldBe (200 to true to case.whole)
         else -> isServed shouldBe false
     }
+    // A caller is not told more of the end than the target told.
+    if (case.isTargetComplete) answer.isFramed shouldBe case.framing.isExplicit
     // No part of an event is passed on, whatever becomes of the rest.
     if (answer.status == 200 && !isServed) {
         case.sentEvents shouldStartWith answer.body
@@ -246,6 +248,27 @@
             }
         }
 
+        // Guards against ORDER: a broken-off response without a length whose caller sees an orderly end.
+        test("a caller that does not know chunks sees a broken-off response as reset") {
+            val target = RawTarget { request, socket ->
+                val isWhole = request.id == "whole"
+                socket.send(head(Framing.CHUNKS, request.id, "text/plain", 0) + chunk("data") + if (isWhole) "0\r\n\r\n" else "")
+            }
+            Site().use { site ->
+                site.register("d0", "desk", target.address)
+                site.declare(1, "\"k1\"")
+                site.startHost()
+                site.awaitReady(1)
+                for (id in listOf("whole", "broken")) {
+                    val text = request(id, "/book/x", LONG_DEADLINE_MS).replaceFirst("HTTP/1.1", "HTTP/1.0")
+                    val answer = exchangeRaw(site.requestAddress(0), text)
+                    answer.isFramed shouldBe false
+                    answer.isComplete shouldBe (id == "whole")
+                }
+            }
+            target.close()
+        }
+
         // Guards against ORDER: a host that stops ends a response without a length as if the target had ended it.
         test("a stop ends the responses that are still in progress as broken off") {
             println("seed $SEED")
