Break responses off and leave lengths out in the soak, and check what callers are told of it

The soak's targets sent every response whole and in chunks or with a length, so that no soak could meet the incident ORDER. Now 30 in 100 responses end with their connection and 8 in 100 are broken off: inside an event with an end as if whole, or with a close. New checks: a whole answer needs a run that finished, and a cut stream holds whole events only. A cut is no finding if a target broke off.

--- a/src/test/kotlin/soak/CallerConnection.kt
+++ b/src/test/kotlin/soak/CallerConnection.kt
@@ -35,6 +35,10 @@
     var isCloseAsked = false
         private set
 
+    /** Whether the connection has ended, with an answer that ends so. */
+    var isEnded = false
+        private set
+
     /** Sends [request] with [key] and returns how it ended. */
     fun exchange(request: SoakRequest, key: String): CallerRecord {
         val startedMs = clock.nowMs()
@@ -103,8 +107,9 @@
         }
         answer.headers = headers
         isCloseAsked = headers["connection"].equals("close", ignoreCase = true)
+        val length = headers["content-length"]
         if (headers["transfer-encoding"] != "chunked") {
-            readBytes(headers.getValue("content-length").toInt(), answer)
+            if (length == null) readToEnd(answer) else readBytes(length.toInt(), answer)
             return
         }
         while (true) {
@@ -115,11 +120,23 @@
         }
     }
 
-    private fun readByte(): Int {
+    private fun readByte(): Int = readByteOrEnd().also { if (it < 0) throw EOFException("the connection ended") }
+
+    /** Returns the next byte, or a negative number if the host has closed the connection in order. */
+    private fun readByteOrEnd(): Int {
         val leftMs = leaveMs - clock.nowMs()
         if (leftMs <= 0) throw SocketTimeoutException("left at the deadline")
         if (input.available() == 0) socket.soTimeout = leftMs.toInt()
-        return input.read().also { if (it < 0) throw EOFException("the connection ended") }
+        return input.read()
+    }
+
+    private fun readToEnd(answer: Answer) {
+        while (true) {
+            val byte = readByteOrEnd()
+            isEnded = byte < 0
+            if (isEnded) return
+            answer.body.write(byte)
+        }
     }
 
     private fun readBytes(count: Int, answer: Answer) = repeat(count) { answer.body.write(readByte()) }
--- a/src/test/kotlin/soak/SoakChecks.kt
+++ b/src/test/kotlin/soak/SoakChecks.kt
@@ -13,13 +13,14 @@
 private const val DEADLINE_SLACK_MS = 500L
 internal const val LOST_AT_STOP = "LOST at stop"
 internal const val LOST_WITHOUT_STOP = "LOST without stop"
+private const val SHOWN_CHARACTERS = 40
 private val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
 private val DENIAL_STATUSES = setOf(400, 401, 403, 404)
 
 /** Returns the broken promises of [history]. */
 internal fun checkHistory(history: SoakHistory): List<Finding> = with(HistoryIndex(history)) {
     lostAfterStop() + lostAtStop() + lostWithoutStop() + refusedButRun() + ranTwice() + mixedAnswers() +
-        mixedInputs() + denied() + badEnds() + unservedLives()
+        shownAsWhole() + partsOfEvents() + mixedInputs() + denied() + badEnds() + unservedLives()
 }
 
 private class HistoryIndex(private val history: SoakHistory) {
@@ -46,6 +47,9 @@
         return minOf(life.stopSeenMs ?: latestMs, latestMs)
     }
 
+    /** Whether a target broke its response to the request off, so that the answer may have to end early. */
+    private fun isBrokenOff(record: CallerRecord) = runsOf(record).any { it.ending == RunEnding.BROKEN_OFF }
+
     private fun describeRuns(record: CallerRecord) = runsOf(record).joinToString {
         "${it.ending} ${it.startedMs - record.startedMs}..${it.endedMs?.minus(record.startedMs)} ms"
     }
@@ -69,7 +73,7 @@
         when {
             record.startedMs <= handledMs(life, stop) || isExcused(record) || isAtDeadline(record) -> null
             isGivenUp -> finding(check, record, "sent on and then given up")
-            record.ending != Ending.CUT -> null
+            record.ending != Ending.CUT || isBrokenOff(record) -> null
             runsOf(record).isNotEmpty() -> finding(check, record, "sent on and then cut")
             record.endedMs - record.sentMs <= CLOSE_SLACK_MS -> null
             else -> finding(check, record, "read and closed late without an answer")
@@ -91,7 +95,7 @@
 
     fun lostWithoutStop(): List<Finding> = history.requests.filter { record ->
         val isInLife = (lifeOf(record).stopMs?.fromMs ?: Long.MAX_VALUE) > record.endedMs
-        record.ending == Ending.CUT && isInLife && !isExcused(record) && !isAtDeadline(record)
+        record.ending == Ending.CUT && isInLife && !isExcused(record) && !isAtDeadline(record) && !isBrokenOff(record)
     }.map { finding(LOST_WITHOUT_STOP, it, "read and cut by a host that goes on") }
 
     fun refusedButRun(): List<Finding> = history.requests
@@ -111,6 +115,15 @@
         }
     }
 
+    fun shownAsWhole(): List<Finding> = history.requests
+        .filter { record -> record.isServed && runsOf(record).none { it.ending == RunEnding.FINISHED } }
+        .map { finding("ORDER", it, "a whole answer, though no target finished one") }
+
+    fun partsOfEvents(): List<Finding> = history.requests
+        .filter { it.request.kind.isStream && it.status == 200 && it.ending == Ending.CUT && !isExcused(it) }
+        .filter { record -> (0..record.request.steps).none { record.body == record.request.eventsUpTo(it) } }
+        .map { finding("ORDER", it, "a part of an event: \"${it.body.takeLast(SHOWN_CHARACTERS)}\"") }
+
     fun mixedInputs(): List<Finding> = history.requests.filter { it.request.kind == RequestKind.PIPELINE }
         .mapNotNull { record ->
             val bad = runsOf(record).firstOrNull { run ->
--- a/src/test/kotlin/soak/SoakChecksSpec.kt
+++ b/src/test/kotlin/soak/SoakChecksSpec.kt
@@ -119,6 +119,22 @@
             }
         }
 
+        test("whole answers without a target that finished one, and parts of events are reported") {
+            val stream = pipeline.copy(id = "c", pieces = 0)
+            val broken = finished(stream, 5_010).copy(ending = RunEnding.BROKEN_OFF)
+            checksOf(history(served(stream, 5_000), broken)) shouldBe listOf("ORDER")
+            val cut = served(stream, 5_000).copy(ending = Ending.CUT, body = stream.eventsUpTo(2))
+            checksOf(history(cut, broken)).shouldBeEmpty()
+            checksOf(history(cut.copy(body = cut.body + "id"), broken)) shouldBe listOf("ORDER")
+        }
+
+        test("a request that is cut by a host that goes on is reported unless its target broke off") {
+            checksOf(history(served(booking, 5_000).cut(300), finished(booking, 5_010))) shouldBe
+                listOf("LOST without stop")
+            val broken = finished(booking, 5_010).copy(ending = RunEnding.BROKEN_OFF)
+            checksOf(history(served(booking, 5_000).cut(300), broken)).shouldBeEmpty()
+        }
+
         test("inputs of another request, one twice or too few are reported") {
             val two = pipeline.copy(id = "d", pieces = 2)
             for (inputs in listOf(listOf("h1", "h2"), listOf("h2", "h2"), listOf("h2"), emptyList())) {
@@ -134,16 +150,17 @@
 
         test("hosts that fail, outlast their grace or end by themselves are reported") {
             val record = served(booking, 5_000)
-            checksOf(history(record, of = life.copy(exitStatus = 1))) shouldBe listOf("END")
-            checksOf(history(record, of = life.copy(isOverdue = true))) shouldBe listOf("END")
-            checksOf(history(record, of = life.copy(endedMs = null))) shouldBe listOf("END")
-            checksOf(history(record, of = life.copy(stopMs = null, exitStatus = 134))) shouldBe listOf("END")
+            val run = finished(booking, 5_010)
+            checksOf(history(record, run, of = life.copy(exitStatus = 1))) shouldBe listOf("END")
+            checksOf(history(record, run, of = life.copy(isOverdue = true))) shouldBe listOf("END")
+            checksOf(history(record, run, of = life.copy(endedMs = null))) shouldBe listOf("END")
+            checksOf(history(record, run, of = life.copy(stopMs = null, exitStatus = 134))) shouldBe listOf("END")
         }
 
         test("a restarted host that is never ready or serves nothing is reported") {
-            checksOf(history(served(booking, 5_000), of = life.copy(readyMs = null))) shouldBe listOf("SERVES")
+            checksOf(history(served(booking, 5_000), finished(booking, 5_010), of = life.copy(readyMs = null))) shouldBe listOf("SERVES")
             val idle = life.copy(host = 1)
-            val checked = history(served(booking, 5_000))
+            val checked = history(served(booking, 5_000), finished(booking, 5_010))
             checksOf(checked.copy(lives = checked.lives + idle)) shouldBe listOf("SERVES")
         }
 
--- a/src/test/kotlin/soak/SoakHistory.kt
+++ b/src/test/kotlin/soak/SoakHistory.kt
@@ -39,7 +39,10 @@
 
     /** The body of a whole answer. */
     val expectedAnswer: String
-        get() = if (kind.isStream) (1..steps).joinToString("") { eventText(id, it) } else "answer to $id: $body"
+        get() = if (kind.isStream) eventsUpTo(steps) else "answer to $id: $body"
+
+    /** The first [count] events of the stream. */
+    fun eventsUpTo(count: Int): String = (1..count).joinToString("") { eventText(id, it) }
 
     /** How long the request may take before a host ends it. */
     val patienceMs: Long get() = minOf(deadlineMs, kind.timeoutMs)
@@ -88,7 +91,16 @@
 }
 
 /** How a request ended at a target. */
-internal enum class RunEnding { RUNNING, FINISHED, DROPPED }
+internal enum class RunEnding {
+    RUNNING,
+    FINISHED,
+
+    /** The caller or a host closed the connection. */
+    DROPPED,
+
+    /** The target broke its response off. */
+    BROKEN_OFF,
+}
 
 /**
  * A request as a target saw it, unless the target refused it.
--- a/src/test/kotlin/soak/SoakLoad.kt
+++ b/src/test/kotlin/soak/SoakLoad.kt
@@ -75,7 +75,7 @@
                 connection = current
                 val record = current.exchange(nextRequest(), key)
                 records += record
-                val isKept = record.ending == Ending.ANSWERED && !habits.opensNewConnections &&
+                val isKept = record.ending == Ending.ANSWERED && !current.isEnded && !habits.opensNewConnections &&
                     (!current.isCloseAsked || habits.ignoresClose)
                 if (!isKept) {
                     current.close()
--- a/src/test/kotlin/soak/SoakTargets.kt
+++ b/src/test/kotlin/soak/SoakTargets.kt
@@ -1,5 +1,6 @@
 /*
- * The targets of a soak: they work as long as each request asks for, at times slower, and record what reached them.
+ * The targets of a soak: they work for the steps that each request names, at times slower, and record what reached them.
+ * Some responses have neither a length nor chunks, and some are broken off, also inside an event.
  */
 package org.sesamerouter.soak
 
@@ -7,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import org.sesamerouter.clock.Clock
 import org.sesamerouter.front.PlatformStandin
+import org.sesamerouter.web.BodyFraming
 import org.sesamerouter.web.IncomingRequest
 import java.util.Random
 
@@ -17,6 +19,9 @@
 private const val STAGE_CALL_SPREAD_MS = 250
 private const val LONG_STAGE_CALL_MS = 1_500L
 private const val LONG_STAGE_CALL_SHARE = 0.05
+private const val UNFRAMED_SHARE = 0.3 // of the responses
+private const val BROKEN_SHARE = 0.08
+private const val ORDERLY_BREAK_SHARE = 0.5 // of the streams that are broken off
 
 /** The targets of one soak. */
 internal class SoakTargets(private val platform: PlatformStandin, private val clock: Clock, seed: Long) {
@@ -48,6 +53,10 @@
 
     private fun slowness(): Int = synchronized(random) { if (random.nextDouble() < SLOW_SHARE) SLOW_FACTOR else 1 }
 
+    private fun chance(share: Double): Boolean = synchronized(random) { random.nextDouble() < share }
+
+    private fun randomInt(bound: Int): Int = synchronized(random) { random.nextInt(bound) }
+
     private fun target(): String {
         var running = 0
         return platform.listen { request ->
@@ -85,6 +94,10 @@
         private val isStream = RequestKind.entries.first { request.uri.startsWith(it.pathPrefix) }.isStream
         private var done = request.headers.get("Last-Event-Id")?.toInt() ?: 0
         private var isOver = false
+        private val framing = if (chance(UNFRAMED_SHARE)) BodyFraming.CONNECTION_END else BodyFraming.CHUNKS
+
+        /** The step at which the response is broken off; null if it is not. */
+        private val breakingStep = if (chance(BROKEN_SHARE)) 1 + randomInt(steps) else null
 
         fun start() {
             request.onClosed = { end(RunEnding.DROPPED) }
@@ -94,22 +107,49 @@
         private fun step() {
             if (isOver) return
             done++
-            if (isStream) {
-                val headers = answerHeaders(
-                    id,
-                ).set("Server-Stamp", stampOf(id)).set("Content-Type", "text/event-stream")
-                if (!request.isResponseStarted) request.startResponse(200, headers)
-                request.write(Unpooled.copiedBuffer(eventText(id, done), Charsets.UTF_8))
+            val isBreaking = done == breakingStep
+            if (isStream) writeStream(eventText(id, done), isBreaking)
+            when {
+                isBreaking -> breakOff()
+                done < steps -> platform.schedule(stepMs, ::step)
+                else -> finish()
+            }
+        }
+
+        private fun writeStream(event: String, isBreaking: Boolean) {
+            startResponse("text/event-stream")
+            write(if (isBreaking) event.take(1 + randomInt(event.length - 1)) else event)
+        }
+
+        private fun startResponse(type: String) {
+            val headers = answerHeaders(id).set("Server-Stamp", stampOf(id)).set("Content-Type", type)
+            if (!request.isResponseStarted) request.startResponse(200, headers, framing)
+        }
+
+        private fun write(text: String) = request.write(Unpooled.copiedBuffer(text, Charsets.UTF_8))
+
+        /** Ends the response early: a stream also as if it were whole, inside an event. */
+        private fun breakOff() {
+            if (!isStream) {
+                startResponse("text/plain")
+                write("answer")
             }
-            if (done < steps) platform.schedule(stepMs, ::step) else finish()
+            if (isStream && chance(ORDERLY_BREAK_SHARE)) request.end() else request.abort()
+            end(RunEnding.BROKEN_OFF)
         }
 
         private fun finish() {
-            if (isStream) {
-                request.end()
-            } else {
-                val body = "answer to $id: ".toByteArray() + request.body
-                request.reply(200, body, answerHeaders(id).set("Server-Stamp", stampOf(id)))
+            val body = "answer to $id: " + request.body.decodeToString()
+            when {
+                isStream -> request.end()
+
+                framing == BodyFraming.CONNECTION_END -> {
+                    startResponse("text/plain")
+                    write(body)
+                    request.end()
+                }
+
+                else -> request.reply(200, body.toByteArray(), answerHeaders(id).set("Server-Stamp", stampOf(id)))
             }
             end(RunEnding.FINISHED)
         }
