Decide whether a silent target is given up when it is silent, not at the send

Cause: whether another target may run the request was decided at the send, before the stop.

The exchange now reports a silent send, and the flows give it up only if the route's attempts, the time left, the retry budget and the end of the process allow another send as things are then; the exchange checks once more that nothing has arrived meanwhile. The case of the last allowed send is kept, through the new event; the new case fails without the check of the shutdown.

--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -100,7 +100,7 @@
             responseIdOf(request.id),
             effect.expiresAtMs,
         )
-        val next = TargetSend(effect.send, effect.target, effect.mayRunAgain)
+        val next = TargetSend(effect.send, effect.target)
         currentSend = next
         next.call = deps.client.send(effect.target.address, outgoing, next, effect.maxConnections)
         incoming.onWritable = { next.call?.setReading(true) }
@@ -141,19 +141,28 @@
         incoming.abort()
     }
 
-    /** Gives up a target that has sent nothing for too long, if the request may run at another one. */
+    /** Reports a target that has sent nothing for too long; whether it is given up is decided by the flows. */
     fun checkInactivity(now: Long) {
         val current = currentSend ?: return
-        val inactiveMs = now - current.lastProgressMs
-        val limit = when {
-            !current.mayRunAgain -> return
-            request.route.kind == RouteKind.SAFE && !current.isStarted -> SAFE_INACTIVITY_MS
-            request.route.isResumable && current.isStarted -> streamInactivityMs
-            else -> return
-        }
-        if (inactiveMs < limit) return
+        if (isSilent(current, now)) post(FlowEvent.SendSilent(current.id))
+    }
+
+    /** Gives up the target of [send] unless it has sent something since it was reported as silent. */
+    fun giveUpIfSilent(send: SendId) {
+        val now = deps.clock.nowMs()
+        val current = currentSend?.takeIf { it.id == send && isSilent(it, now) } ?: return
+        val cause = "silent for ${now - current.lastProgressMs} ms"
         current.call?.cancel()
-        current.onFailed(CallFailure(CallProgress.SENT, "silent for $inactiveMs ms", BreakReason.SILENT))
+        current.onFailed(CallFailure(CallProgress.SENT, cause, BreakReason.SILENT))
+    }
+
+    private fun isSilent(send: TargetSend, now: Long): Boolean {
+        val limitMs = when {
+            request.route.kind == RouteKind.SAFE && !send.isStarted -> SAFE_INACTIVITY_MS
+            request.route.isResumable && send.isStarted -> streamInactivityMs
+            else -> return false
+        }
+        return now - send.lastProgressMs >= limitMs
     }
 
     /**
@@ -170,8 +179,7 @@
 
     private fun elapsedMs() = (deps.clock.nowMs() - request.arrivedMs).toDouble()
 
-    private inner class TargetSend(val id: SendId, private val target: TargetEntry, val mayRunAgain: Boolean) :
-        ResponseListener {
+    private inner class TargetSend(val id: SendId, private val target: TargetEntry) : ResponseListener {
         var call: ForwardCall? = null
         var lastProgressMs = deps.clock.nowMs()
         var isStarted = false
--- a/src/main/kotlin/front/CallerExchanges.kt
+++ b/src/main/kotlin/front/CallerExchanges.kt
@@ -109,6 +109,7 @@
         when (effect) {
             is FlowEffect.Send -> exchanges[effect.send.flow]?.send(effect)
             is FlowEffect.CancelSend -> exchanges[effect.send.flow]?.cancelSend(effect.send)
+            is FlowEffect.GiveUpSend -> exchanges[effect.send.flow]?.giveUpIfSilent(effect.send)
             is FlowEffect.Reject -> exchanges[effect.flow]?.reject(effect)
             is FlowEffect.DeliverFailure -> exchanges[effect.flow]?.deliverBuffered()
             is FlowEffect.AbortResponse -> exchanges[effect.flow]?.abort()
--- a/src/main/kotlin/pipeline/RetryBudget.kt
+++ b/src/main/kotlin/pipeline/RetryBudget.kt
@@ -17,9 +17,12 @@
         tokens = minOf(burst, tokens + share)
     }
 
+    /** Whether a token is left. */
+    val canWithdraw: Boolean get() = tokens >= 1.0
+
     /** Withdraws a token for one retry or hedge; returns false when none is left. */
     fun tryWithdraw(): Boolean {
-        if (tokens < 1.0) return false
+        if (!canWithdraw) return false
         tokens -= 1.0
         return true
     }
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -80,6 +80,9 @@
 
     data class SendFailed(val send: SendId, val failure: SendFailure, val load: ReportedLoad? = null) : FlowEvent
 
+    /** The target of [send] has sent nothing for longer than a sound one does. */
+    data class SendSilent(val send: SendId) : FlowEvent
+
     data class CallerDisconnected(val flow: Long) : FlowEvent
 
     /** A target process ended without draining first. */
@@ -117,8 +120,6 @@
     /**
      * Sends the request to [target] with the handles [inputs] of the stage results, unless the deadline [expiresAtMs]
      * has passed by then or too much time since [decidedAtMs].
-     *
-     * @property mayRunAgain whether the request may run at another target if this one stays silent.
      */
     data class Send(
         val send: SendId,
@@ -129,11 +130,13 @@
         val decidedAtMs: Long,
         val lastEventId: String?,
         val rank: Int,
-        val mayRunAgain: Boolean,
     ) : FlowEffect
 
     data class CancelSend(val send: SendId) : FlowEffect
 
+    /** Ends [send] as failed if its target is still silent: another target may run the request. */
+    data class GiveUpSend(val send: SendId) : FlowEffect
+
     /**
      * Ends the request with a response from this host.
      *
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -64,6 +64,7 @@
             is FlowEvent.ResponseStarted -> onResponseStarted(event, now)
             is FlowEvent.ResponseCompleted -> onResponseCompleted(event, now)
             is FlowEvent.SendFailed -> onSendFailed(event, now)
+            is FlowEvent.SendSilent -> onSendSilent(event.send, now)
             is FlowEvent.CallerDisconnected -> flows[event.flow]?.let { cancelFlow(it, "caller left") }
             is FlowEvent.TargetDied -> onTargetDown(event.target, event.startTimeMs, now)
             is FlowEvent.ShutdownStarted -> onShutdownStarted(event, now)
@@ -218,7 +219,6 @@
             now,
             flow.lastEventId,
             request.rank,
-            mayRunAgain = request.route.isIdempotent && flow.runs + 1 < request.route.maxAttempts,
         )
     }
 
@@ -302,6 +302,13 @@
         }
     }
 
+    /** Gives up a silent target only if another one may run the request as things are now, and not as at the send. */
+    private fun onSendSilent(send: SendId, now: Long) {
+        val (flow, _) = findSend(send) ?: return
+        val mayRunAgain = mayRerun(flow, now, runs = flow.runs + 1) && shutdown.canComplete(flow, now)
+        if (mayRunAgain && retryBudget(flow.request.service).canWithdraw) effects += FlowEffect.GiveUpSend(send)
+    }
+
     private fun recordLoss(flow: Flow, attempt: SendAttempt, now: Long) = crashAttribution.onRequestLost(
         flow.request.fingerprint,
         attempt.target.id,
@@ -344,8 +351,8 @@
         if (mayTry && retryBudget(flow.request.service).tryWithdraw()) send(flow, now) else fail(flow, reason)
     }
 
-    private fun mayRerun(flow: Flow, now: Long): Boolean = flow.request.route.isIdempotent &&
-        flow.runs < flow.request.route.maxAttempts &&
+    private fun mayRerun(flow: Flow, now: Long, runs: Int = flow.runs): Boolean = flow.request.route.isIdempotent &&
+        runs < flow.request.route.maxAttempts &&
         flow.request.deadlineMs - now > MIN_SEND_MS
 
     private fun rerun(flow: Flow, now: Long) {
--- a/src/test/kotlin/serving/FlowModels.kt
+++ b/src/test/kotlin/serving/FlowModels.kt
@@ -100,6 +100,10 @@
     )
 }
 
+/** Whether the target of [send] is given up when it is reported as silent. */
+internal fun Host.givesUpSilent(send: SendId): Boolean =
+    handle(FlowEvent.SendSilent(send)).filterIsInstance<FlowEffect.GiveUpSend>().any { it.send == send }
+
 internal fun List<FlowEffect>.stageJobs() = filterIsInstance<FlowEffect.RunStage>().map { it.job }
 
 internal fun List<FlowEffect>.sends() = filterIsInstance<FlowEffect.Send>()
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -201,13 +201,29 @@
         // Guards against a sound answer that is given up for the silence of its target, though no other may run it.
         test("the last send that a route allows is not given up while its target is silent") {
             val host = Host()
-            val first = host.arrive(route(RouteKind.SAFE, attempts = 2)).sends().single()
-            first.mayRunAgain shouldBe true
-            val last = host.handle(FlowEvent.SendFailed(first.send, SendFailure.Lost("silent"))).sends().single()
-            last.mayRunAgain shouldBe false
-            host.arrive(route(RouteKind.UNSAFE, attempts = 2), flow = 2).sends().single().mayRunAgain shouldBe false
-            host.arrive(route(RouteKind.STREAM, resumable = true, attempts = 2), flow = 3).sends().single()
-                .mayRunAgain shouldBe true
+            val first = host.arrive(route(RouteKind.SAFE, attempts = 2)).sends().single().send
+            host.givesUpSilent(first) shouldBe true
+            val last = host.handle(FlowEvent.SendFailed(first, SendFailure.Lost("silent"))).sends().single().send
+            host.givesUpSilent(last) shouldBe false
+            val unsafe = host.arrive(route(RouteKind.UNSAFE, attempts = 2), flow = 2).sends().single().send
+            host.givesUpSilent(unsafe) shouldBe false
+            val stream = host.arrive(route(RouteKind.STREAM, resumable = true, attempts = 2), flow = 3).sends().single()
+            host.givesUpSilent(stream.send) shouldBe true
+        }
+
+        // Guards against LOST at a stop: a target is given up for its silence though no other may run the request any more.
+        test("a silent target is not given up when the request could not run again by now") {
+            val stopping = Host()
+            val send = stopping.arrive(route(RouteKind.SAFE, attempts = 2), deadlineMs = 20_000).sends().single().send
+            stopping.handle(FlowEvent.ShutdownStarted(earliestEndMs = 500, endMs = 7_000))
+            stopping.now = 1_000
+            stopping.givesUpSilent(send) shouldBe true
+            stopping.now = 4_000
+            stopping.givesUpSilent(send) shouldBe false
+
+            val withoutBudget = Host { RetryBudget(0.0, 0.0) }
+            withoutBudget.givesUpSilent(withoutBudget.arrive(route(RouteKind.SAFE, attempts = 2)).sends().single().send) shouldBe
+                false
         }
 
         test("requests are not repeated beyond the retry budget") {
