Do not resume a stream after an event without an id

An event without an id does not move the position at which a stream is resumed, so that the next target would send it again: the caller got an event twice. Such a stream is now cut instead of resumed, unless a later event has an id. EventSplitterSpec has a case for it; before, every stream of events counted as resumable.

--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -295,7 +295,7 @@
             val cause = if (isStarted) "${failure.cause}, framed by $framing" else failure.cause
             if (isStarted) deps.metrics.countResponse("broken off", failure.reason.name)
             val sendFailure = when {
-                isStarted -> SendFailure.Broken(splitter != null, splitter?.lastId, cause)
+                isStarted -> SendFailure.Broken(splitter?.isResumable == true, splitter?.lastId, cause)
                 failure.progress == CallProgress.SENT -> SendFailure.Lost(cause)
                 failure.progress == CallProgress.UNREACHABLE -> SendFailure.NotSent(cause)
                 else -> SendFailure.NotAttempted(cause)
--- a/src/main/kotlin/front/EventSplitter.kt
+++ b/src/main/kotlin/front/EventSplitter.kt
@@ -21,6 +21,10 @@
     var lastId: String? = null
         private set
 
+    /** Whether the stream can go on after [lastId]: the last complete event, if there was one, has an id. */
+    var isResumable = true
+        private set
+
     /** Whether the data since the last complete event is too long to be an event. */
     val isTooLong: Boolean get() = pending.size() > MAX_EVENT_BYTES
 
@@ -30,7 +34,7 @@
         val bytes = pending.toByteArray()
         val end = endOfLastEvent(bytes)
         if (end == 0) return null
-        updateLastId(bytes, end)
+        updateLastId(String(bytes, 0, end, Charsets.UTF_8))
         pending.reset()
         pending.write(bytes, end, bytes.size - end)
         return Unpooled.wrappedBuffer(bytes, 0, end)
@@ -56,9 +60,19 @@
         return 0
     }
 
-    private fun updateLastId(bytes: ByteArray, end: Int) {
-        val text = String(bytes, 0, end, Charsets.UTF_8)
-        val id = text.lineSequence().filter { it.startsWith(ID_FIELD) }.lastOrNull() ?: return
-        lastId = id.substring(ID_FIELD.length).trim()
+    private fun updateLastId(events: String) {
+        var id: String? = null
+        var isEvent = false
+        for (line in events.lineSequence()) {
+            if (line.startsWith(ID_FIELD)) id = line.substring(ID_FIELD.length).trim()
+            if (line.isNotEmpty()) {
+                isEvent = isEvent || !line.startsWith(COMMENT_PREFIX)
+                continue
+            }
+            id?.let { lastId = it }
+            if (isEvent) isResumable = id != null
+            id = null
+            isEvent = false
+        }
     }
 }
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -60,7 +60,8 @@
     /**
      * The response was interrupted.
      *
-     * @property isAtEvent whether only complete events were passed on, so that another target can resume the stream.
+     * @property isAtEvent whether only complete events were passed on, the last one with an id, so that another target
+     *   can resume the stream.
      * @property lastEventId id of the last event passed on from this send; null when there was none.
      */
     data class Broken(val isAtEvent: Boolean, val lastEventId: String?, val cause: String) : SendFailure
--- a/src/test/kotlin/front/EventSplitterSpec.kt
+++ b/src/test/kotlin/front/EventSplitterSpec.kt
@@ -26,6 +26,19 @@
             splitter.isTooLong shouldBe true
         }
 
+        // Guards against ORDER: events that come twice, since the stream is resumed after an earlier one.
+        test("a stream is not resumed after an event without an id, which the other target would send again") {
+            val event = "id: 1\r\ndata: x\r\n\r\n"
+            val other = "data: y\n\n"
+            splitterOf("").isResumable shouldBe true
+            splitterOf(event).isResumable shouldBe true
+            splitterOf(event, other).isResumable shouldBe false
+            splitterOf(event + other).isResumable shouldBe false
+            splitterOf(other + event).isResumable shouldBe true
+            splitterOf(event, ": comment\n\n", "\n", "data: part").isResumable shouldBe true
+            splitterOf(event, ": comment\n\n", "\n", "data: part").lastId shouldBe "1"
+        }
+
         test("only complete events are passed on, and the id of the last one is known") {
             checkAll(histories(seed = 41), Arb.long()) { seed ->
                 val random = Random(seed)
