--- a/src/main/kotlin/web/InputEnd.kt
+++ b/src/main/kotlin/web/InputEnd.kt
@@ -1,6 +1,6 @@
 /*
- * The evidence that the other side of a connection has ended its data in order. The HTTP decoder ends a response without
- * a length whenever the connection is gone, also after a reset and when this process closes it.
+ * The evidence that the other side of a connection has ended its data in order. The HTTP decoder ends a response
+ * without a length whenever the connection is gone, also after a reset and when this process closes it.
  */
 package org.sesamerouter.web
 
@@ -22,5 +22,5 @@
     }
 }
 
-/** Makes connections report the end of their input, instead of closing at once; their last handler has to close them. */
+/** Makes connections report the end of their input, instead of closing; their last handler has to close them. */
 internal fun Bootstrap.reportInputEnd(): Bootstrap = option(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/src/test/kotlin/front/BrokenOffResponseSpec.kt
+++ b/src/test/kotlin/front/BrokenOffResponseSpec.kt
@@ -1,6 +1,6 @@
 /*
- * Tests what a caller is shown of a response that its target broke off: generated cases over the framing of the response,
- * the place of the cut, line ends, what ended it, the kind of route and whether another target goes on with it.
+ * Tests what a caller is shown of a response that its target broke off: generated cases over the framing of the
+ * response, the place of the cut, line ends, what ended it, the kind of route and whether another target goes on.
  */
 package org.sesamerouter.front
 
@@ -33,7 +33,14 @@
 }
 
 /** Where the bytes of the response end. */
-private enum class Cut { NOWHERE, BEFORE_AN_EVENT, IN_AN_EVENT, BEFORE_A_BLANK_LINE, IN_A_BLANK_LINE, IN_THE_FIRST_EVENT }
+private enum class Cut {
+    NOWHERE,
+    BEFORE_AN_EVENT,
+    IN_AN_EVENT,
+    BEFORE_A_BLANK_LINE,
+    IN_A_BLANK_LINE,
+    IN_THE_FIRST_EVENT,
+}
 
 /** What ends the response. */
 private enum class End {
@@ -142,8 +149,8 @@
 }
 
 private fun head(framing: Framing, id: String, contentType: String, length: Int) =
-    "HTTP/${framing.version} 200 OK\r\nRequest-Id: $id\r\nServer-Stamp: stamp of $id\r\nContent-Type: $contentType\r\n" +
-        "Connection: close\r\n" +
+    "HTTP/${framing.version} 200 OK\r\nRequest-Id: $id\r\nServer-Stamp: stamp of $id\r\n" +
+        "Content-Type: $contentType\r\nConnection: close\r\n" +
         when (framing) {
             Framing.LENGTH -> "Content-Length: $length\r\n\r\n"
             Framing.CHUNKS -> "Transfer-Encoding: chunked\r\n\r\n"
@@ -159,7 +166,8 @@
         val answer = if (case.goesOn) {
             head(Framing.CHUNKS, request.id, "text/event-stream", 0) + chunk(rest) + "0\r\n\r\n"
         } else {
-            "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ${request.id}\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+            "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ${request.id}\r\nNot-Run: 1\r\n" +
+                "Connection: close\r\nContent-Length: 0\r\n\r\n"
         }
         socket.send(answer)
         return
@@ -252,7 +260,14 @@
         test("a caller that does not know chunks sees a broken-off response as reset") {
             val target = RawTarget { request, socket ->
                 val isWhole = request.id == "whole"
-                socket.send(head(Framing.CHUNKS, request.id, "text/plain", 0) + chunk("data") + if (isWhole) "0\r\n\r\n" else "")
+                socket.send(
+                    head(
+                        Framing.CHUNKS,
+                        request.id,
+                        "text/plain",
+                        0,
+                    ) + chunk("data") + if (isWhole) "0\r\n\r\n" else "",
+                )
             }
             Site().use { site ->
                 site.register("d0", "desk", target.address)
--- a/src/test/kotlin/front/EventSplitterSpec.kt
+++ b/src/test/kotlin/front/EventSplitterSpec.kt
@@ -69,7 +69,16 @@
                 splitterOf(event + rest).isInsideEvent shouldBe false
                 splitterOf(event, rest).isInsideEvent shouldBe false
             }
-            for (rest in listOf(":", ": comment", "d", "data: y", "data: y\n", "data: y\r\n", "data: y\r\n\r", ": one\nid: 2\n")) {
+            for (rest in listOf(
+                ":",
+                ": comment",
+                "d",
+                "data: y",
+                "data: y\n",
+                "data: y\r\n",
+                "data: y\r\n\r",
+                ": one\nid: 2\n",
+            )) {
                 splitterOf(event + rest).isInsideEvent shouldBe true
                 splitterOf(event, rest).isInsideEvent shouldBe true
             }
--- a/src/test/kotlin/front/RawTargets.kt
+++ b/src/test/kotlin/front/RawTargets.kt
@@ -1,6 +1,6 @@
 /*
- * Targets and callers on plain sockets. A target sends exactly the bytes that a test gives it; a caller tells whether the
- * response was shown as complete, judged by the framing alone.
+ * Targets and callers on plain sockets. A target sends exactly the bytes that a test gives it; a caller tells whether
+ * the response was shown as complete, judged by the framing alone.
  */
 package org.sesamerouter.front
 
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -211,7 +211,7 @@
             host.givesUpSilent(stream.send) shouldBe true
         }
 
-        // Guards against LOST at a stop: a target is given up for its silence though no other may run the request any more.
+        // Guards against LOST at a stop: a target is given up for its silence though no other may run the request.
         test("a silent target is not given up when the request could not run again by now") {
             val stopping = Host()
             val send = stopping.arrive(route(RouteKind.SAFE, attempts = 2), deadlineMs = 20_000).sends().single().send
@@ -222,7 +222,9 @@
             stopping.givesUpSilent(send) shouldBe false
 
             val withoutBudget = Host { RetryBudget(0.0, 0.0) }
-            withoutBudget.givesUpSilent(withoutBudget.arrive(route(RouteKind.SAFE, attempts = 2)).sends().single().send) shouldBe
+            withoutBudget.givesUpSilent(
+                withoutBudget.arrive(route(RouteKind.SAFE, attempts = 2)).sends().single().send,
+            ) shouldBe
                 false
         }
 
--- a/src/test/kotlin/soak/SoakChecksSpec.kt
+++ b/src/test/kotlin/soak/SoakChecksSpec.kt
@@ -158,7 +158,8 @@
         }
 
         test("a restarted host that is never ready or serves nothing is reported") {
-            checksOf(history(served(booking, 5_000), finished(booking, 5_010), of = life.copy(readyMs = null))) shouldBe listOf("SERVES")
+            checksOf(history(served(booking, 5_000), finished(booking, 5_010), of = life.copy(readyMs = null))) shouldBe
+                listOf("SERVES")
             val idle = life.copy(host = 1)
             val checked = history(served(booking, 5_000), finished(booking, 5_010))
             checksOf(checked.copy(lives = checked.lives + idle)) shouldBe listOf("SERVES")
--- a/src/test/kotlin/soak/SoakTargets.kt
+++ b/src/test/kotlin/soak/SoakTargets.kt
@@ -1,6 +1,6 @@
 /*
- * The targets of a soak: they work for the steps that each request names, at times slower, and record what reached them.
- * Some responses have neither a length nor chunks, and some are broken off, also inside an event.
+ * The targets of a soak: they work for the steps that each request names, at times slower, and record what reached
+ * them. Some responses have neither a length nor chunks, and some are broken off, also inside an event.
  */
 package org.sesamerouter.soak
 
