--- a/src/main/kotlin/web/RequestConnection.kt
+++ b/src/main/kotlin/web/RequestConnection.kt
@@ -180,6 +180,7 @@
      */
     var resetsAtClose = false
         set(value) {
+            if (field == value || !channel.isOpen) return
             field = value
             channel.config().setOption(ChannelOption.SO_LINGER, if (value) 0 else -1)
         }
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
@@ -107,15 +108,15 @@
     }
 
     /**
-     * Starts a response whose body follows. Without a length in [headers] it has chunks, or ends with its connection if
-     * [framing] says so or the caller does not know chunks.
+     * Starts a response whose body follows, unless it answers a HEAD. Without a length in [headers] it has chunks, or
+     * ends with its connection if [framing] says so or the caller does not know chunks.
      */
     fun startResponse(status: Int, headers: HttpHeaders, framing: BodyFraming = BodyFraming.CHUNKS) {
         if (!isOpen || isResponseStarted) return
         isResponseStarted = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().add(headers)
-        if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+        if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH) && method != HttpMethod.HEAD.name()) {
             endsWithConnection = framing == BodyFraming.CONNECTION_END || !knowsChunks
             if (!endsWithConnection) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
--- a/src/test/kotlin/web/ForwardSpec.kt
+++ b/src/test/kotlin/web/ForwardSpec.kt
@@ -10,6 +10,7 @@
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldStartWith
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -305,6 +306,25 @@
             server.close()
         }
 
+        // Guards against MIXED: the last chunk of a response without a body belongs to no answer.
+        test("a streamed response to a HEAD ends with its head") {
+            val server = startRequestServer("127.0.0.1:0", group, systemClock(), { limits }) { request ->
+                request.startResponse(200, DefaultHttpHeaders())
+                if (request.method == "GET") request.write(Unpooled.copiedBuffer(request.uri, Charsets.UTF_8))
+                request.end()
+            }
+            Socket("127.0.0.1", server.port).use { socket ->
+                socket.soTimeout = 20_000
+                socket.write("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+                socket.readHead() shouldStartWith "HTTP/1.1 200"
+                socket.write("GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                val rest = socket.getInputStream().readBytes().decodeToString()
+                rest shouldStartWith "HTTP/1.1 200"
+                rest shouldContain "/2"
+            }
+            server.close()
+        }
+
         test("oversized heads are rejected with 431 and oversized bodies with 413") {
             exchange("GET /a HTTP/1.1\r\nHost: a\r\nX: ${"y".repeat(3_000)}\r\n\r\n") shouldStartWith "HTTP/1.1 431"
             exchange("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n") shouldStartWith "HTTP/1.1 413"
