Read a response that has arrived when its request cannot be written

ForwardSpec failed once beside other work ("a connection is not reused if the target responded before the whole request body was written": an empty body). Traced: the target answers early and closes with most of the request unread, which resets the connection; the event loop handles a write before a read, so that the failed write closed the channel with the whole answer unread. The caller of an unsafe request then gets 502 instead of the target's answer.

A failed write no longer closes the connection: what has arrived is read, and a response that its framing ends is complete. One that ends with the connection is broken off, since a reset that a write has reported looks like an orderly end afterwards. ResponseEndSpec: the new case failed before (half of a body, "request not written") and passes.

--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -35,6 +35,7 @@
     private var responseId: ResponseId? = null
     private var method = HttpMethod.GET
     private var isRequestWritten = false
+    private var writeFailure: Throwable? = null
     private var isHeadReceived = false
     private var isSkippingResponse = false
     private var framing = BodyFraming.LENGTH
@@ -69,10 +70,16 @@
         }
         channel.writeAndFlush(message).addListener { write ->
             isRequestWritten = write.isSuccess
-            if (!write.isSuccess) breakOff(BreakReason.RESET, "request not written: ${write.cause().message}")
+            if (!write.isSuccess) onWriteFailed(write.cause())
         }
     }
 
+    /** Reads what the target has sent before it closed or reset the connection: it may have responded early. */
+    private fun onWriteFailed(cause: Throwable) {
+        writeFailure = cause
+        if (cause is IOException) channel.config().isAutoRead = true else channel.close()
+    }
+
     /** Closes the connection without notifying the listener of the call. */
     fun closeSilently() {
         listener = null
@@ -121,7 +128,10 @@
         if (content is LastHttpContent && listener === activeListener && isComplete()) end(activeListener)
     }
 
-    private fun isComplete() = breakage == null && (framing != BodyFraming.CONNECTION_END || inputEnd.isReached)
+    private fun isComplete() = breakage == null && (framing != BodyFraming.CONNECTION_END || isEndedInOrder)
+
+    /** After a failed write, a reset connection ends as if in order. */
+    private val isEndedInOrder get() = inputEnd.isReached && writeFailure == null
 
     private fun end(activeListener: ResponseListener) {
         listener = null
@@ -141,10 +151,16 @@
         super.channelInactive(ctx)
     }
 
-    private fun closedFailure() = if (inputEnd.isReached) {
-        CallFailure(CallProgress.SENT, "connection closed", BreakReason.CLOSED)
-    } else {
-        CallFailure(CallProgress.SENT, "connection closed by this host", BreakReason.LOCAL)
+    private fun closedFailure(): CallFailure {
+        val written = writeFailure
+        return when {
+            written != null ->
+                CallFailure(CallProgress.SENT, "request not written: ${written.message}", BreakReason.RESET)
+
+            inputEnd.isReached -> CallFailure(CallProgress.SENT, "connection closed", BreakReason.CLOSED)
+
+            else -> CallFailure(CallProgress.SENT, "connection closed by this host", BreakReason.LOCAL)
+        }
     }
 
     /** Closes the connection at the end of its input, which the decoder has handled by now. */
--- a/src/test/kotlin/web/ResponseEndSpec.kt
+++ b/src/test/kotlin/web/ResponseEndSpec.kt
@@ -63,25 +63,39 @@
 
 class ResponseEndSpec :
     FunSpec({
-        // Guards against ORDER: a response that was reset while its request was being sent counts as complete.
-        test("a response without a length is broken off if the target resets before it has read the whole request") {
+        /** Calls a target that sends [first], then [rest] once that was read, and resets with its request half read. */
+        fun callResetting(first: String, rest: String): CollectedResponse {
             val group = newGroup()
             val client = ForwardClient(group.next() as EventLoop, systemClock())
             val isPartRead = CountDownLatch(1)
             val address = serverOf { socket ->
-                socket.send(HEAD + "half")
+                socket.send(first)
                 isPartRead.await()
+                socket.send(rest)
                 socket.resetAtClose()
             }
             val call = CompletableFuture<ForwardCall>()
             val listener = PartListener {
                 // The reset then shows at the write of the request alone.
-                call.get().setReading(false)
+                if (isPartRead.count > 0) call.get().setReading(false)
                 isPartRead.countDown()
             }
             group.execute { call.complete(client.send(address, requestOf(ByteArray(LARGE_BODY_BYTES)), listener)) }
-            listener.response.get(TIMEOUT_S, TimeUnit.SECONDS).failure shouldNotBe null
+            val response = listener.response.get(TIMEOUT_S, TimeUnit.SECONDS)
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+            return response
+        }
+
+        // Guards against ORDER: a response that was reset while its request was being sent counts as complete.
+        test("a response without a length is broken off if the target resets before it has read the whole request") {
+            callResetting(HEAD + "half", "").failure shouldNotBe null
+            callResetting(HEAD + "half", "more").failure shouldNotBe null
+        }
+
+        // Guards against an early response that is lost since the write of its request fails first.
+        test("a response that has arrived whole is complete if the target then resets before it has read the request") {
+            val head = HEAD.replaceFirst("\r\n", "\r\nContent-Length: 8\r\n")
+            callResetting(head + "half", "half") shouldBe CollectedResponse(200, "halfhalf", null, true)
         }
 
         // Guards against ORDER: a process that ends takes the responses of its targets as complete.
