Keep the reset of a connection until its last response is written, and bound the read after a failed write

A host that is killed between the end of a response without a length and its last write would have closed the connection in order, so that its caller took a part for the whole: the linger option is now set back when the last write has succeeded. A connection whose request could not be written is closed after 200 ms if nothing ends it before.

--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -20,7 +20,9 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import java.io.IOException
+import java.util.concurrent.TimeUnit
 
+private const val READ_AFTER_FAILED_WRITE_MS = 200L // what has arrived is read at once
 private val KEEP_ALIVE_SECONDS = Regex("""timeout=(\d+)""")
 
 internal class ForwardConnection(
@@ -77,7 +79,9 @@
     /** Reads what the target has sent before it closed or reset the connection: it may have responded early. */
     private fun onWriteFailed(cause: Throwable) {
         writeFailure = cause
-        if (cause is IOException) channel.config().isAutoRead = true else channel.close()
+        channel.config().isAutoRead = true
+        val closeAfterMs = if (cause is IOException) READ_AFTER_FAILED_WRITE_MS else 0
+        channel.eventLoop().schedule({ channel.close() }, closeAfterMs, TimeUnit.MILLISECONDS)
     }
 
     /** Closes the connection without notifying the listener of the call. */
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -136,8 +136,9 @@
     /** Ends the response. */
     fun end() {
         if (!isOpen) return
-        connection.resetsAtClose = false
-        connection.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        connection.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener {
+            if (it.isSuccess) connection.resetsAtClose = false
+        }
         connection.onResponseEnd(this, closesAfterResponse)
     }
 
