--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -217,7 +217,7 @@
 
         private fun startResponse(status: Int, headers: HttpHeaders) {
             val encoded = encodeResponseHeaders(headers)
-            // What another target resumes may have another length.
+            // A target that resumes the stream may send another length.
             if (splitter != null && request.route.isResumable) encoded.remove(HttpHeaderNames.CONTENT_LENGTH)
             incoming.startResponse(status, encoded, framing)
         }
--- a/src/main/kotlin/front/EventSplitter.kt
+++ b/src/main/kotlin/front/EventSplitter.kt
@@ -21,7 +21,7 @@
     var lastId: String? = null
         private set
 
-    /** Whether the stream can go on after [lastId]: the last complete event, if there was one, has an id. */
+    /** Whether the stream can be resumed after [lastId]: false if the last complete event has no id. */
     var isResumable = true
         private set
 
--- a/src/main/kotlin/platform/StoreClient.kt
+++ b/src/main/kotlin/platform/StoreClient.kt
@@ -109,7 +109,7 @@
         }
     }
 
-    /** A reply without the records up to its end was cut: to go on from there would leave them out. */
+    /** A reply that names a later end but has no records was truncated; continuing from its end would skip records. */
     private fun withoutGap(read: StoreOutcome<KeyedRecords>, from: Long): StoreOutcome<KeyedRecords> {
         val isCut = read is StoreOutcome.Done && read.value.records.isEmpty() && read.value.end > from
         return if (isCut) StoreOutcome.HistoryTruncated else read
@@ -202,7 +202,7 @@
     null
 }
 
-/** Decodes the reply to a read: the end offset, the first offset, then length-prefixed records; null if it was cut. */
+/** Decodes a reply to a read: the end offset, the first offset, then length-prefixed records; null if truncated. */
 internal fun decodeRecords(bytes: ByteArray, from: Long): KeyedRecords? {
     if (bytes.size < READ_HEADER_BYTES) return null
     val buffer = ByteBuffer.wrap(bytes)
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -302,7 +302,7 @@
         }
     }
 
-    /** Gives up a silent target only if another one may run the request as things are now, and not as at the send. */
+    /** Gives up a silent target if another one may run the request now; that may have changed since the send. */
     private fun onSendSilent(send: SendId, now: Long) {
         val (flow, _) = findSend(send) ?: return
         val mayRunAgain = mayRerun(flow, now, runs = flow.runs + 1) && shutdown.canComplete(flow, now)
--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -151,7 +151,7 @@
             .group(loop)
             .channel(NioSocketChannel::class.java)
             .reportInputEnd()
-            .option(ChannelOption.AUTO_CLOSE, false) // a response may have arrived when the request cannot be written
+            .option(ChannelOption.AUTO_CLOSE, false) // a response may have arrived when a write fails
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -22,7 +22,7 @@
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
-private const val READ_AFTER_FAILED_WRITE_MS = 200L // what has arrived is read at once
+private const val READ_AFTER_FAILED_WRITE_MS = 200L // the data that has arrived is read in the next rounds
 private val KEEP_ALIVE_SECONDS = Regex("""timeout=(\d+)""")
 
 internal class ForwardConnection(
@@ -43,7 +43,7 @@
     private var framing = BodyFraming.LENGTH
     private var keepAlive = true
 
-    /** Why the connection broke; null if that does not show but in its end. */
+    /** What failed before the end of the connection; null if nothing did. */
     private var breakage: CallFailure? = null
     private var idleSinceMs = 0L
     private var idleTimeoutMs = ForwardClient.idleTimeoutMs(null)
@@ -134,7 +134,7 @@
 
     private fun isComplete() = breakage == null && (framing != BodyFraming.CONNECTION_END || isEndedInOrder)
 
-    /** After a failed write, a reset connection ends as if in order. */
+    /** A reset that a failed write has reported is read as an orderly end afterwards. */
     private val isEndedInOrder get() = inputEnd.isReached && writeFailure == null
 
     private fun end(activeListener: ResponseListener) {
--- a/src/main/kotlin/web/HttpClient.kt
+++ b/src/main/kotlin/web/HttpClient.kt
@@ -216,7 +216,7 @@
     private var method = HttpMethod.GET
     private var framing = BodyFraming.LENGTH
 
-    /** Why the connection broke; null if that does not show but in its end. */
+    /** What failed before the end of the connection; null if nothing did. */
     private var breakCause: String? = null
     private lateinit var channel: Channel
     private var call: ClientCall? = null
--- a/src/main/kotlin/web/InputEnd.kt
+++ b/src/main/kotlin/web/InputEnd.kt
@@ -10,7 +10,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.ChannelInputShutdownEvent
 
-/** Has to stand before the decoder, on a connection of a [reportInputEnd] bootstrap. */
+/** A handler for connections of a [reportInputEnd] bootstrap; has to precede the decoder in the pipeline. */
 internal class InputEnd : ChannelInboundHandlerAdapter() {
     /** Whether the other side has ended its data in order. */
     var isReached = false
@@ -22,5 +22,5 @@
     }
 }
 
-/** Makes connections report the end of their input, instead of closing; their last handler has to close them. */
+/** Makes connections report the end of their input instead of closing; the last handler has to close them then. */
 internal fun Bootstrap.reportInputEnd(): Bootstrap = option(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/src/main/kotlin/web/ResponseEnd.kt
+++ b/src/main/kotlin/web/ResponseEnd.kt
@@ -30,10 +30,10 @@
     /** The connection was reset, or the request could not be written. */
     RESET,
 
-    /** The target sent what is no response, or one that cannot be passed on. */
+    /** The target sent something other than a response, or a response that cannot be passed on. */
     INVALID,
 
-    /** The body ended as its framing tells, but inside an event of its stream. */
+    /** The end of the body was reached, but inside an event of the stream. */
     INSIDE_EVENT,
 
     /** The target sent nothing for too long. */
--- a/src/test/kotlin/front/BrokenOffResponseSpec.kt
+++ b/src/test/kotlin/front/BrokenOffResponseSpec.kt
@@ -159,7 +159,7 @@
 
 private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
 
-/** Responds as [case] tells at the first time, and at the next one goes on with the stream or refuses. */
+/** Sends the response of [case] to the first arrival; resumes the stream or refuses at the next one. */
 private fun respond(case: Case, request: RawRequest, socket: Socket, isOver: CountDownLatch) {
     if (request.number > 1) {
         val rest = case.events.drop(request.lastEventId).joinToString("")
@@ -188,7 +188,7 @@
     "POST $path HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: $id\r\nDeadline-Ms: $deadlineMs\r\n" +
         "Authorization: Bearer k1\r\nPieces: 0\r\nPrefix-Hash: ab:10,$id:5\r\nContent-Length: ${id.length}\r\n\r\n$id"
 
-/** Starts a host whose targets respond to the request with number N as the Nth of [cases] tells. */
+/** Starts a host whose targets respond to the request with number N as in the Nth of [cases]. */
 private fun startedSite(cases: List<Case>, isOver: CountDownLatch, graceMs: Long = 8_000): Pair<Site, List<RawTarget>> {
     val site = Site(graceMs, retrySlack = 10.0 * cases.size)
     val arrivals = ConcurrentHashMap<String, Int>()
@@ -213,13 +213,13 @@
         case.isResumed -> (answer.status to answer.isComplete to answer.body) shouldBe (200 to true to case.whole)
         else -> isServed shouldBe false
     }
-    // A caller is not told more of the end than the target told.
+    // The framing that the caller gets claims no more than that of the target.
     if (case.isTargetComplete) answer.isFramed shouldBe case.framing.isExplicit
-    // No part of an event is passed on, whatever becomes of the rest.
+    // No part of an event is passed on.
     if (answer.status == 200 && !isServed) {
         case.sentEvents shouldStartWith answer.body
         if (case.route.isStream) answer.body shouldBe wholeEventsOf(case, answer.body)
-        // A reset, also one that tells the caller of the break, may destroy what was not read yet.
+        // A reset, also one of the caller's connection, may destroy data that was not read yet.
         if (case.end == End.IN_ORDER && answer.isFramed) answer.body shouldBe case.sentEvents
     }
 }
--- a/src/test/kotlin/soak/CallerConnection.kt
+++ b/src/test/kotlin/soak/CallerConnection.kt
@@ -35,7 +35,7 @@
     var isCloseAsked = false
         private set
 
-    /** Whether the connection has ended, with an answer that ends so. */
+    /** Whether the host has closed the connection to mark the end of an answer. */
     var isEnded = false
         private set
 
--- a/src/test/kotlin/soak/SoakTargets.kt
+++ b/src/test/kotlin/soak/SoakTargets.kt
@@ -128,7 +128,7 @@
 
         private fun write(text: String) = request.write(Unpooled.copiedBuffer(text, Charsets.UTF_8))
 
-        /** Ends the response early: a stream also as if it were whole, inside an event. */
+        /** Ends the response early; a stream ends inside an event, half of them as if complete. */
         private fun breakOff() {
             if (!isStream) {
                 startResponse("text/plain")
