--- a/src/test/kotlin/soak/Soak.kt
+++ b/src/test/kotlin/soak/Soak.kt
@@ -1,6 +1,6 @@
 /*
  * A soak of front hosts as separate processes: load, events from a seeded schedule, and checks of what was seen. The
- * seed gives the schedule and what callers ask for; the order in which processes run differs from run to run.
+ * seed gives the schedule and the requests of the callers; the order in which processes run differs from run to run.
  */
 package org.sesamerouter.soak
 
