Tell how far a host is behind its configuration, and why it does not read or fetch it

Which host read, when a failed read is repeated and why a fetch was not made could only be concluded from counts of store calls. The lines configuration-read-failed, state-fetch and state-fetch-skipped say so, the line configuration names its source and for how long another host has had the version, and a gauge and a histogram hold the same. State updates carry the age of a version. No decision is changed.

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -24,6 +24,7 @@
 import org.sesamerouter.platform.FrontSettings
 import org.sesamerouter.platform.StoreClient
 import org.sesamerouter.platform.decodeServingConfig
+import org.sesamerouter.propagation.ConfigurationLag
 import org.sesamerouter.quarantine.Quarantine
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.routing.TargetNotice
@@ -100,6 +101,11 @@
     )
     private val servers = ArrayList<RequestServer>()
 
+    internal val lag = ConfigurationLag()
+
+    /** When the configuration in force was first in force on any host, as far as this host knows. */
+    private var firstInForceMs = 0L
+
     private var publishedState = -1L to -1L
     private var readOrderFor = -1L
     private var knownReadOrder = 0
@@ -108,6 +114,9 @@
     @Volatile
     private var addresses: List<String> = emptyList()
 
+    @Volatile
+    private var behindMs = 0L
+
     @Volatile
     private var isReady = false
 
@@ -124,6 +133,9 @@
 
     override val self: Member get() = membership.self
 
+    /** Time for which any host has had the configuration in force here, as far as this host knows. */
+    internal fun configAgeMs(now: Long): Long = if (config == null) 0 else now - firstInForceMs
+
     private fun initialMember() = Member(
         settings.name,
         clock.nowMs(),
@@ -161,6 +173,7 @@
         metrics.gauge("targets.known") { directory.targets.size }
         metrics.gauge("members.live") { membership.live().size }
         metrics.gauge("configuration.version") { config?.version ?: -1 }
+        metrics.gauge("configuration.behind.ms") { behindMs }
         metrics.gauge("store.calls") { store.calls }
         metrics.gauge("connections.opened") { client.openedConnections }
         metrics.gauge("log.dropped") { log.dropped }
@@ -213,6 +226,7 @@
         val isPauseOver = usableTargets.onTick(now)
         if (directory.onTick(now) || isPauseOver) onTargetsChanged(now)
         peerUpdates.onTick(now)
+        behindMs = lag.behindMs(now)
         publishState()
     }
 
@@ -298,7 +312,7 @@
         post(FlowEvent.StageEnded(job, outcome), clock.nowMs())
     }
 
-    override fun onConfig(text: String) {
+    override fun onConfig(text: String, source: String) {
         val decoded = decodeServingConfig(text)
         if (decoded == null) {
             log.write("configuration-unreadable", "bytes" to text.length)
@@ -306,11 +320,23 @@
         }
         val current = config
         if (current != null && decoded.version <= current.version) return
+        val now = clock.nowMs()
+        val lagMs = lag.onInForce(decoded.version, now)
+        metrics.configurationLagMs.record(lagMs.toDouble())
+        firstInForceMs = now - lagMs
         config = decoded
         configText = text
-        log.write("configuration", "version" to decoded.version, "routes" to decoded.routes.size)
+        log.write(
+            "configuration",
+            "version" to decoded.version,
+            "before" to current?.version,
+            "routes" to decoded.routes.size,
+            "characters" to text.length,
+            "source" to source,
+            "behind-ms" to lagMs,
+        )
         peerUpdates.updateOnNextTick()
-        onTargetsChanged(clock.nowMs())
+        onTargetsChanged(now)
     }
 
     override fun onTargets(read: EntryRead) = onTargets(read, ageMs = 0, isLocalRead = true)
--- a/src/main/kotlin/front/FrontMetrics.kt
+++ b/src/main/kotlin/front/FrontMetrics.kt
@@ -22,6 +22,9 @@
     val firstByteMs: DistributionSummary = latency("sesamerouter.forward.first.byte.ms")
     val answerMs: DistributionSummary = latency("sesamerouter.forward.answer.ms")
 
+    /** Time from the first host that has a configuration version in force to this one. */
+    val configurationLagMs: DistributionSummary = latency("sesamerouter.configuration.lag.ms")
+
     /** Counts a request that ended with [outcome]. */
     fun countEnded(outcome: String) = registry.counter("sesamerouter.forward.ended", "outcome", outcome).increment()
 
--- a/src/main/kotlin/front/PeerUpdateAdapter.kt
+++ b/src/main/kotlin/front/PeerUpdateAdapter.kt
@@ -10,6 +10,7 @@
 import org.sesamerouter.discovery.EntryRead
 import org.sesamerouter.discovery.TargetIncarnation
 import org.sesamerouter.membership.DisseminationPlan
+import org.sesamerouter.membership.Member
 import org.sesamerouter.membership.PeerHandler
 import org.sesamerouter.membership.PeerOutcome
 import org.sesamerouter.membership.PeerReply
@@ -143,6 +144,7 @@
             host.stages.poolReports(now),
             pendingLeaving,
             pendingDeaths,
+            host.configAgeMs(now),
         )
         val hasState = update.read != null || update.engines.isNotEmpty() || update.pools.isNotEmpty()
         val isUnchanged = !hasState && !update.isUrgent && version() == sentVersion
@@ -189,6 +191,7 @@
         update.deaths.forEach { host.quarantine.onDeath(it, now) }
         host.engines.onReports(update.from, update.engines, now)
         host.stages.onPoolReports(update.pools, now)
+        host.lag.onAnnounced(update.configVersion, update.configAgeMs, now)
         if (update.configVersion > version()) onNewerVersion(update.from)
         val read = update.read ?: return
         if (host.directory.isBehind(read)) host.controlLoop.after(FETCH_DELAY_MS) { fetchState(update.from, read) }
@@ -221,17 +224,41 @@
     private fun fetchState(from: String, read: EntryRead? = null) {
         val peer = host.membership.member(from) ?: return
         val isNeeded = peer.revision > version() || isLackingTargets(read)
-        if (isFetching || !isNeeded || from == host.self.host) return
+        if (isFetching || !isNeeded || from == host.self.host) {
+            if (host.lag.behindMs(host.clock.nowMs()) > 0) logSkippedFetch(peer)
+            return
+        }
+        val startedMs = host.clock.nowMs()
         isFetching = true
         host.peers.request(from, ServingRequest.State, STATE_TIMEOUT_MS) { outcome ->
             isFetching = false
-            val state = (outcome as? PeerOutcome.Replied)?.reply as? StateReply ?: return@request
-            state.config?.let(host::onConfig)
+            val state = (outcome as? PeerOutcome.Replied)?.reply as? StateReply
+            logFetch(from, state, host.clock.nowMs() - startedMs)
+            if (state == null) return@request
+            state.config?.let { host.onConfig(it, from) }
             state.read?.let { if (isLackingTargets(it)) host.onTargets(it, state.readAgeMs, isLocalRead = false) }
             state.leaving.forEach { host.onLeaving(it, isLocal = false) }
         }
     }
 
+    private fun logSkippedFetch(peer: Member) = host.log.write(
+        "state-fetch-skipped",
+        "peer" to peer.host,
+        "peer-version" to peer.revision,
+        "version" to version(),
+        "fetching" to isFetching,
+        "behind-ms" to host.lag.behindMs(host.clock.nowMs()),
+    )
+
+    private fun logFetch(from: String, state: StateReply?, tookMs: Long) = host.log.write(
+        "state-fetch",
+        "peer" to from,
+        "version" to version(),
+        "outcome" to (if (state == null) "no reply" else "replied"),
+        "characters" to state?.config?.length,
+        "ms" to tookMs,
+    )
+
     private fun isLackingTargets(read: EntryRead?): Boolean =
         !host.directory.isReady || (read != null && host.directory.isBehind(read))
 
--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -44,8 +44,8 @@
 
 /** Callbacks of [StoreAdapter]; all are called on the control thread. */
 internal interface StoreListener {
-    /** Called with a configuration that was read. */
-    fun onConfig(text: String)
+    /** Called with a configuration that was read from [source], the store or a host. */
+    fun onConfig(text: String, source: String)
 
     /** Called with the target changes of a read. */
     fun onTargets(read: EntryRead)
@@ -211,7 +211,7 @@
                 val records = outcome.value
                 updateStoreState(isReachable = true, "configuration")
                 val newest: KeyedRecord? = records.records.lastOrNull { it.key == CONFIGURATION_KEY }
-                newest?.text?.let(listener::onConfig)
+                newest?.text?.let { listener.onConfig(it, "store") }
                 // Offsets of another era were assigned again: records before this read may have been missed.
                 val isContiguous = position == null || position.era == records.era
                 configPosition = if (isContiguous) StreamPosition(records.era, records.end) else null
@@ -229,7 +229,9 @@
 
     private fun onConfigReadFailed(cause: String) {
         updateStoreState(isReachable = false, "configuration: $cause")
-        nextConfigReadMs = clock.nowMs() + retryMs(RETRY_MS)
+        val delayMs = retryMs(RETRY_MS)
+        nextConfigReadMs = clock.nowMs() + delayMs
+        log.write("configuration-read-failed", "why" to cause, "retry-ms" to delayMs, "order" to listener.readOrder())
     }
 
     private fun retryMs(baseMs: Long) =
--- a/src/main/kotlin/membership/ServingMessages.kt
+++ b/src/main/kotlin/membership/ServingMessages.kt
@@ -49,6 +49,7 @@
      * @property read changes of targets, read from the store [readAgeMs] ago.
      * @property configVersion configuration version in force at the sender, -1 if none.
      * @property leaving targets that announced in a response to the sender that they are leaving.
+     * @property configAgeMs time for which any host has had that version in force, as far as the sender knows.
      * @property deaths targets that died while they ran a request of the sender.
      */
     @Serializable
@@ -61,6 +62,7 @@
         @CborLabel(6) val pools: List<PoolReport> = emptyList(),
         @CborLabel(7) val leaving: List<TargetIncarnation> = emptyList(),
         @CborLabel(8) val deaths: List<DeathNotice> = emptyList(),
+        @CborLabel(9) val configAgeMs: Long = 0,
     ) {
         /** Whether other hosts should know of the update at once, since it decides where they may send requests. */
         val isUrgent: Boolean
