Take the decisions about reading and fetching the configuration out of the adapters

ConfigurationSync decides what StoreAdapter and PeerUpdateAdapter decided between their calls, so that a model without a network can drive it.

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -25,6 +25,8 @@
 import org.sesamerouter.platform.StoreClient
 import org.sesamerouter.platform.decodeServingConfig
 import org.sesamerouter.propagation.ConfigurationLag
+import org.sesamerouter.propagation.FleetView
+import org.sesamerouter.propagation.HostVersion
 import org.sesamerouter.quarantine.Quarantine
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.routing.TargetNotice
@@ -58,7 +60,8 @@
 class FrontHost internal constructor(initialSettings: FrontSettings, private val metricsPort: Int?) :
     ExchangeContext,
     StageContext,
-    StoreListener {
+    StoreListener,
+    ConfigurationListener {
     private val logger = LoggerFactory.getLogger(FrontHost::class.java)
 
     @Volatile
@@ -79,7 +82,10 @@
     internal val link = PeerLink(settings.linkAddress, eventLoop)
     internal val peers = PeerClient(link, membership, controlLoop, clock, log)
     private val store = StoreClient(settings.storeAddress, client, eventLoop)
-    private val storeAdapter = StoreAdapter(store, eventLoop, controlLoop, clock, log, directory, this)
+    private val storeState = StoreState(log)
+    private val storeAdapter = StoreAdapter(store, eventLoop, controlLoop, clock, log, storeState, directory, this)
+    private val configuration =
+        ConfigurationAdapter(store, eventLoop, controlLoop, clock, log, storeState, Fleet(), this)
     internal val peerUpdates = PeerUpdateAdapter(this)
     private val exchanges = CallerExchanges(this, client, eventLoop, clock, log, metrics)
     internal val stages = StageRouter(
@@ -159,6 +165,7 @@
         metricsPort?.let { listen("${settings.ip}:$it", { RequestLimits() }, pages::onMetricsRequest) }
         registerGauges()
         controlLoop.post(::tickRepeatedly)
+        configuration.start()
         storeAdapter.start(settings.name, settings.linkAddress)
         logger.info("host {} serves at {}", settings.name, settings.requestAddress)
     }
@@ -222,6 +229,7 @@
         stages.onTick(now)
         membership.onTick(now).forEach(link::sendProbe)
         peers.onTick(now)
+        configuration.onTick(now)
         storeAdapter.onTick(now)
         val isPauseOver = usableTargets.onTick(now)
         if (directory.onTick(now) || isPauseOver) onTargetsChanged(now)
@@ -243,8 +251,14 @@
         }
     }
 
-    /** Reads the configuration from the store at once. */
-    internal fun readConfigNow() = storeAdapter.readConfigNow()
+    /** Handles that [host] has a newer configuration than this one. */
+    internal fun onNewerVersion(host: String) = configuration.onNewerVersion(host)
+
+    override fun fetchConfiguration(host: String) = peerUpdates.fetchState(host)
+
+    override fun onStoreEra(era: Long) = storeAdapter.onEra(era)
+
+    override fun onNewEra(era: Long) = configuration.onEra(era)
 
     private fun publishState() {
         val ready = !isStopping && config != null && directory.isReady
@@ -410,6 +424,20 @@
         return RetryBudget(settings.retryShare, RETRY_SLACK_SHARE * settings.retrySlack / hosts)
     }
 
+    private inner class Fleet : FleetView {
+        override val version: Long get() = config?.version ?: -1
+
+        override val liveHosts: Int get() = liveHosts()
+
+        override val readOrder: Int get() = readOrder()
+
+        override val others: List<HostVersion> get() = peerUpdates.otherHosts().map {
+            HostVersion(it.host, it.revision)
+        }
+
+        override fun hasReadTargets(now: Long) = storeAdapter.hasReadTargets(now)
+    }
+
     private inner class HostFlowContext : FlowContext {
         override val config: ServingConfig? get() = this@FrontHost.config
 
--- a/src/main/kotlin/front/PeerUpdateAdapter.kt
+++ b/src/main/kotlin/front/PeerUpdateAdapter.kt
@@ -38,14 +38,13 @@
     private var plan: DisseminationPlan? = null
     private var plannedFor = 0L to 0L
     private var isFetching = false
-    private var isNewerVersionPending = false
     private var sentVersion = -1L
 
     override fun onProbe(message: ProbeMessage, from: String) = host.controlLoop.post {
         host.membership.onMessage(message, from, host.clock.nowMs()).forEach(host.link::sendProbe)
         val newest = message.members.maxByOrNull { it.revision } ?: return@post
         if (newest.revision > version()) {
-            onNewerVersion(newest.host)
+            host.onNewerVersion(newest.host)
         } else if (!host.directory.isReady) {
             fetchState(newest.host)
         }
@@ -192,36 +191,19 @@
         host.engines.onReports(update.from, update.engines, now)
         host.stages.onPoolReports(update.pools, now)
         host.lag.onAnnounced(update.configVersion, update.configAgeMs, now)
-        if (update.configVersion > version()) onNewerVersion(update.from)
+        if (update.configVersion > version()) host.onNewerVersion(update.from)
         val read = update.read ?: return
         if (host.directory.isBehind(read)) host.controlLoop.after(FETCH_DELAY_MS) { fetchState(update.from, read) }
     }
 
-    /** Reads a configuration that the host [from] already has from the store, or from that host if that fails. */
-    private fun onNewerVersion(from: String) {
-        if (isNewerVersionPending) return
-        isNewerVersionPending = true
-        host.readConfigNow()
-        host.controlLoop.after(FETCH_DELAY_MS) {
-            isNewerVersionPending = false
-            fetchState(hostWithNewestVersion() ?: from)
-        }
-    }
-
-    /** A random one, so that not all hosts ask the first one that had the version. */
-    private fun hostWithNewestVersion(): String? {
-        val others = otherHosts()
-        val newest = others.maxOfOrNull { it.revision } ?: return null
-        return others.filter { it.revision == newest }.randomOrNull()?.host
-    }
-
     private fun version() = host.config?.version ?: -1
 
-    private fun otherHosts() =
+    /** The live hosts that answer, without this one. */
+    fun otherHosts(): List<Member> =
         host.membership.live().filter { it.host != host.self.host && host.peers.isResponsive(it.host) }
 
     /** Fetches the state of the host [from] if this host still lacks the configuration or the [read] of that host. */
-    private fun fetchState(from: String, read: EntryRead? = null) {
+    fun fetchState(from: String, read: EntryRead? = null) {
         val peer = host.membership.member(from) ?: return
         val isNeeded = peer.revision > version() || isLackingTargets(read)
         if (isFetching || !isNeeded || from == host.self.host) {
--- a/src/test/kotlin/front/StoreRetrySpec.kt
+++ b/src/test/kotlin/front/StoreRetrySpec.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import org.sesamerouter.propagation.storeRetryMs
 
 class StoreRetrySpec :
     FunSpec({
