--- /dev/null
+++ b/src/test/kotlin/propagation/FleetModel.kt
@@ -0,0 +1,362 @@
+/*
+ * A fleet of hosts on a virtual clock that follow the configuration with the real decisions: links of a limited
+ * bandwidth, processors of a limited share, lost datagrams, and a store that rejects, is silent or is late for some of
+ * the hosts and may stop to answer those that wait.
+ */
+package org.sesamerouter.propagation
+
+import org.sesamerouter.discovery.StreamPosition
+import org.sesamerouter.membership.DisseminationPlan
+import org.sesamerouter.membership.Member
+import org.sesamerouter.membership.MemberStatus
+import org.sesamerouter.membership.Recipients
+import org.sesamerouter.routing.rendezvous
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.random.asJavaRandom
+
+private const val TICK_MS = 100L
+private const val PROBE_INTERVAL_MS = 400L
+private const val RECORDS_PER_PROBE = 5
+private const val LATENCY_MS = 2L
+private const val STORE_LATENCY_MS = 4L
+private const val STORE_LATE_MS = 400L
+private const val STORE_WAIT_MS = 4_000L
+private const val STORE_TIMEOUT_MS = 900L
+private const val FETCH_TIMEOUT_MS = 500L
+private const val MESSAGE_BYTES = 300
+private const val DECODED_BYTES_PER_MS = 20_000.0 // on a whole core
+private const val ENCODED_BYTES_PER_MS = 40_000.0
+private const val BASE64_FACTOR = 4.0 / 3
+
+/** How the store treats a host. */
+internal enum class StoreAccess { OPEN, REJECTS, SILENT, LATE }
+
+/** The sizes of a modelled fleet. */
+internal data class FleetSpec(
+    val seed: Long,
+    val hosts: Int,
+    val dataCentres: Int = 5,
+    val textBytes: Int = 30_000,
+    val linkBytesPerMs: Double = 2_500.0,
+    val processorShare: Double = 0.36,
+    val datagramLoss: Double = 0.0,
+)
+
+/** A version and when the store confirmed it. */
+internal data class WrittenVersion(val version: Long, val atMs: Long)
+
+internal class FleetModel(private val spec: FleetSpec) {
+    private class Event(val atMs: Long, val order: Long, val action: () -> Unit)
+
+    private val random = Random(spec.seed)
+    private val queue = PriorityQueue<Event>(compareBy({ it.atMs }, { it.order }))
+    private var sequence = 0L
+    private val written = ArrayList<WrittenVersion>()
+    private var truncatedBelow = 0
+    private var isStoreQuiet = false
+    private val members = List(spec.hosts) { host ->
+        val address = "10.0.0.$host"
+        Member("host-$host", 1, 0, MemberStatus.ALIVE, "$address:1", "$address:2", "dc-${host % spec.dataCentres}")
+    }
+    private val hosts = List(spec.hosts) { ModelHost(it) }
+    private val numbers = members.withIndex().associate { it.value.host to it.index }
+
+    var now = 0L
+        private set
+
+    /** Hosts that read the store first, in their order. */
+    val readers: List<Int> =
+        members.indices.sortedBy { rendezvous("target-reader", members[it].host) }
+
+    /** Relays of the data centres. */
+    val relays: List<Int> = members.indices.groupBy { members[it].dataCentre }
+        .map { (_, of) -> of.minBy { rendezvous("relay", members[it].host) } }
+
+    init {
+        write(1)
+        hosts.forEach { it.start(random.nextLong(TICK_MS)) }
+    }
+
+    /** Writes [version] to the store now. */
+    fun write(version: Long) {
+        written += WrittenVersion(version, now)
+        if (!isStoreQuiet) hosts.forEach { it.onWritten() }
+    }
+
+    /** The waiting reads of the store get no answer from now on. */
+    fun quietStore() {
+        isStoreQuiet = true
+    }
+
+    /** Resets the waiting reads and drops the records before the newest one. */
+    fun cutWaitingReads() {
+        isStoreQuiet = false
+        truncatedBelow = written.lastIndex
+        hosts.forEach { it.cutRead() }
+    }
+
+    fun setAccess(host: Int, access: StoreAccess) {
+        hosts[host].access = access
+    }
+
+    /** Ends [host] now and starts it again after [ms], without a configuration. */
+    fun restart(host: Int, ms: Long) = hosts[host].restart(ms)
+
+    fun version(host: Int): Long = hosts[host].version
+
+    /** Runs [action] after [ms]. */
+    fun after(ms: Long, action: () -> Unit) {
+        queue += Event(now + ms, sequence++, action)
+    }
+
+    fun runUntil(ms: Long) {
+        while (queue.isNotEmpty() && queue.peek().atMs <= ms) {
+            val next = queue.remove()
+            now = next.atMs
+            next.action()
+        }
+        now = ms
+    }
+
+    /** The longest time that a host without a restart was behind a version after it was confirmed or [notBeforeMs]. */
+    fun longestLagMs(notBeforeMs: Long = 0): Long = hosts.maxOf { host ->
+        written.drop(1).maxOf { host.lagMs(it, maxOf(it.atMs, notBeforeMs, host.startedMs)) }
+    }
+
+    /** Number of hosts that were behind a version for longer than [boundMs]. */
+    fun hostsBehind(boundMs: Long, notBeforeMs: Long = 0): Int = hosts.count { host ->
+        written.drop(1).any { host.lagMs(it, maxOf(it.atMs, notBeforeMs, host.startedMs)) > boundMs }
+    }
+
+    /** Number of reads of the store that all hosts began. */
+    val storeReads: Long get() = hosts.sumOf { it.storeReads }
+
+    /** Most bytes that a host sent or received. */
+    val busiestLinkBytes: Long get() = hosts.maxOf { maxOf(it.sentBytes, it.receivedBytes) }
+
+    private inner class ModelHost(val number: Int) : FleetView {
+        private val name = members[number].host
+        private val inForceMs = LinkedHashMap<Long, Long>()
+        private val known = HashMap<String, Long>()
+        private var life = 0
+        private var isUp = true
+        private var sync = ConfigurationSync(this, random.asJavaRandom())
+        private var sentVersion = 0L
+        private var isFetching = false
+        private var uplinkFreeMs = 0.0
+        private var downlinkFreeMs = 0.0
+        private var processorFreeMs = 0.0
+        private var waitingRead: Long? = null
+        private val toRelay = ArrayList<Pair<String, Pair<String, Long>>>()
+        private val plan by lazy { DisseminationPlan(members[number], members) }
+        var access = StoreAccess.OPEN
+        var startedMs = 0L
+        var storeReads = 0L
+        var sentBytes = 0L
+        var receivedBytes = 0L
+
+        override var version = -1L
+        override val liveHosts get() = spec.hosts
+        override val readOrder by lazy { readers.indexOf(number) }
+        override val others get() = members.filter {
+            it.host != name
+        }.map { HostVersion(it.host, known[it.host] ?: -1) }
+
+        override fun hasReadTargets(now: Long) = false
+
+        fun start(delayMs: Long) {
+            after(delayMs) {
+                startedMs = now
+                apply(sync.onStart())
+                repeatEvery(TICK_MS) { tick() }
+                repeatEvery(PROBE_INTERVAL_MS) { probe() }
+            }
+        }
+
+        fun restart(ms: Long) {
+            life++
+            isUp = false
+            version = -1
+            waitingRead = null
+            isFetching = false
+            inForceMs.clear()
+            known.clear()
+            toRelay.clear()
+            after(ms) {
+                isUp = true
+                sync = ConfigurationSync(this, random.asJavaRandom())
+                start(0)
+            }
+        }
+
+        fun lagMs(of: WrittenVersion, fromMs: Long): Long {
+            val atMs = inForceMs.entries.firstOrNull { it.key >= of.version }?.value
+            return maxOf(0, (atMs ?: now) - fromMs)
+        }
+
+        private fun repeatEvery(ms: Long, action: () -> Unit) {
+            val of = life
+            action()
+            after(ms) { if (life == of) repeatEvery(ms, action) }
+        }
+
+        /** Runs [action] after [ms] unless this life of the host has ended by then. */
+        private fun later(ms: Long, action: () -> Unit) {
+            val of = life
+            after(ms) { if (life == of && isUp) action() }
+        }
+
+        private fun compute(wholeCoreMs: Double, action: () -> Unit) {
+            processorFreeMs = maxOf(now.toDouble(), processorFreeMs) + wholeCoreMs / spec.processorShare
+            later((processorFreeMs - now).toLong(), action)
+        }
+
+        private fun tick() {
+            apply(sync.onTick(now))
+            if (version > sentVersion) {
+                sentVersion = version
+                plan.own.forEach { send(it, listOf(name to version)) }
+            }
+            for ((dataCentre, of) in toRelay.groupBy({ it.first }, { it.second })) {
+                plan.passedOnFrom(dataCentre).forEach { send(it, of) }
+            }
+            toRelay.clear()
+        }
+
+        private fun send(recipients: Recipients, updates: List<Pair<String, Long>>) = recipients.hosts.forEach { to ->
+            transfer(hosts[numbers.getValue(to)], MESSAGE_BYTES * updates.size) {
+                hosts[numbers.getValue(to)].onUpdates(members[number].dataCentre, recipients.isFinal, updates)
+            }
+        }
+
+        private fun onUpdates(dataCentre: String, isFinal: Boolean, updates: List<Pair<String, Long>>) {
+            if (!isFinal) updates.forEach { toRelay += dataCentre to it }
+            updates.filter { it.first != name && it.second > version }.forEach { (host, _) ->
+                apply(sync.onNewerVersion(host, now))
+            }
+        }
+
+        private fun probe() {
+            val to = hosts.filter { it !== this }.randomOrNull(random) ?: return
+            sendProbe(to) { to.sendProbe(this) {} }
+        }
+
+        private fun sendProbe(to: ModelHost, onArrival: () -> Unit) {
+            val records = known.entries.shuffled(random).take(RECORDS_PER_PROBE).map { it.toPair() } + (name to version)
+            if (random.nextDouble() < spec.datagramLoss) return
+            transfer(to, MESSAGE_BYTES) {
+                to.onProbe(records)
+                onArrival()
+            }
+        }
+
+        private fun onProbe(records: List<Pair<String, Long>>) {
+            records.filter { it.first != name }.forEach { (host, of) -> known.merge(host, of, ::maxOf) }
+            val newest = records.maxBy { it.second }
+            if (newest.second > version) apply(sync.onNewerVersion(newest.first, now))
+        }
+
+        /** Moves [bytes] over both links, then runs [onArrival] at [to]. */
+        private fun transfer(to: ModelHost, bytes: Int, onArrival: () -> Unit) {
+            sentBytes += bytes
+            val ms = bytes / spec.linkBytesPerMs
+            uplinkFreeMs = maxOf(now.toDouble(), uplinkFreeMs) + ms
+            to.receive((uplinkFreeMs - now).toLong() + LATENCY_MS, bytes, onArrival)
+        }
+
+        private fun receive(afterMs: Long, bytes: Int, onArrival: () -> Unit) {
+            later(afterMs) {
+                receivedBytes += bytes
+                downlinkFreeMs = maxOf(now.toDouble(), downlinkFreeMs) + bytes / spec.linkBytesPerMs
+                later((downlinkFreeMs - now).toLong(), onArrival)
+            }
+        }
+
+        private fun apply(effects: List<SyncEffect>): Unit = effects.forEach { effect ->
+            when (effect) {
+                is SyncEffect.ReadStore -> readStore(effect.read, effect.position)
+                is SyncEffect.Fetch -> fetch(hosts[numbers.getValue(effect.host)])
+                is SyncEffect.Wake -> later(effect.ms) { apply(sync.onTick(now)) }
+                is SyncEffect.ReadFailed -> Unit
+            }
+        }
+
+        private fun readStore(read: Long, position: StreamPosition?) {
+            storeReads++
+            waitingRead = null
+            val waitMs = if (position == null) 0 else STORE_WAIT_MS
+            later(waitMs + STORE_TIMEOUT_MS) { end(read, StoreRead.Failed("no reply in time")) }
+            when (access) {
+                StoreAccess.REJECTS -> later(STORE_LATENCY_MS) { end(read, StoreRead.Failed("status 429")) }
+                StoreAccess.SILENT -> Unit
+                StoreAccess.OPEN -> later(STORE_LATENCY_MS) { answer(read, position) }
+                StoreAccess.LATE -> later(STORE_LATE_MS) { answer(read, position) }
+            }
+        }
+
+        private fun answer(read: Long, position: StreamPosition?) {
+            val from = position?.offset?.toInt()
+            when {
+                from != null && from < truncatedBelow -> end(read, StoreRead.Truncated)
+
+                from != null && from >= written.size -> {
+                    waitingRead = read
+                    later(STORE_WAIT_MS) { if (waitingRead == read) reply(read, 0, version) }
+                }
+
+                else -> {
+                    val bytes = if (from == null) spec.textBytes * BASE64_FACTOR else 1.0 * spec.textBytes
+                    reply(read, bytes.toInt(), written.last().version)
+                }
+            }
+        }
+
+        private fun reply(read: Long, bytes: Int, newest: Long) {
+            waitingRead = null
+            val end = written.size.toLong()
+            receive(LATENCY_MS, bytes) {
+                compute(bytes / DECODED_BYTES_PER_MS) {
+                    if (bytes > 0) takeOver(newest)
+                    end(read, StoreRead.Done(StreamPosition(0, end)))
+                }
+            }
+        }
+
+        private fun end(read: Long, outcome: StoreRead) = apply(sync.onStoreRead(read, outcome, now))
+
+        fun onWritten() {
+            waitingRead?.let { reply(it, spec.textBytes, written.last().version) }
+        }
+
+        fun cutRead() {
+            waitingRead?.let { read ->
+                waitingRead = null
+                later(1) { end(read, StoreRead.Failed("connection reset")) }
+            }
+        }
+
+        private fun fetch(from: ModelHost) {
+            if (isFetching) return
+            isFetching = true
+            var isEnded = false
+            val end = { if (!isEnded) isFetching = false.also { isEnded = true } }
+            later(FETCH_TIMEOUT_MS) { end() }
+            transfer(from, MESSAGE_BYTES) {
+                from.compute(spec.textBytes / ENCODED_BYTES_PER_MS) {
+                    val sent = from.version
+                    from.transfer(this, spec.textBytes) {
+                        if (!isEnded) compute(spec.textBytes / DECODED_BYTES_PER_MS) { takeOver(sent) }
+                        end()
+                    }
+                }
+            }
+        }
+
+        private fun takeOver(newer: Long) {
+            if (newer <= version) return
+            version = newer
+            inForceMs[newer] = now
+        }
+    }
+}
