Repeat failed reads of the hosts that the fleet depends on within a third of a second

Cause: a failed read of the configuration was repeated after 300 ms x hosts / 3 x 0.5 to 1.5, 4.8 to 14.3 s with 95 hosts, as if all hosts read. Only three do: the first in the read order and those that read the targets. When the store cut its waiting reads, nobody read until the first of the three tried again.

Hosts on this duty now try again after 0.1 to 0.3 s, doubled up to 1.6 s while the store is away; the others keep the spread over the fleet. A host is on duty if it is among the first three or if its own read of the targets has succeeded in the last 2 s; until now an attempt was enough, also where the store rejects the host.

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -435,7 +435,7 @@
             HostVersion(it.host, it.revision)
         }
 
-        override fun hasReadTargets(now: Long) = storeAdapter.hasReadTargets(now)
+        override fun reachesStore(now: Long) = storeAdapter.reachesStore(now)
     }
 
     private inner class HostFlowContext : FlowContext {
--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -60,6 +60,7 @@
     private var isReadingTargets = false
     private var nextReadMs = 0L
     private var lastOwnReadMs = 0L
+    private var lastSuccessMs = Long.MIN_VALUE / 2
 
     private var era = 0L
 
@@ -90,8 +91,8 @@
         if (!isReadingTargets && now >= nextReadMs && isTargetReadDue(now)) readTargets(now)
     }
 
-    /** Whether this host has read the targets recently, since the first hosts in order do not. */
-    fun hasReadTargets(now: Long): Boolean = now - lastOwnReadMs < RECENT_READ_MS
+    /** Whether a read of the targets by this host has succeeded recently. */
+    fun reachesStore(now: Long): Boolean = now - lastSuccessMs < RECENT_READ_MS
 
     /** Whether the newest read of the targets is too old for this host's position in the read order. */
     private fun isTargetReadDue(now: Long): Boolean {
@@ -124,6 +125,7 @@
         when (outcome) {
             is StoreOutcome.Done -> {
                 storeState.update(isReachable = true, "targets")
+                lastSuccessMs = clock.nowMs()
                 onEra(outcome.value.era)
                 listener.onTargets(toEntryRead(outcome.value, from, full))
             }
--- a/src/main/kotlin/propagation/ConfigurationSync.kt
+++ b/src/main/kotlin/propagation/ConfigurationSync.kt
@@ -9,6 +9,9 @@
 import java.util.random.RandomGenerator
 
 private const val RETRY_MS = 300L
+private const val DUTY_RETRY_MS = 200L // of a host that the others depend on
+private const val MAX_DUTY_RETRY_MS = 1_600L // while the store is away for longer
+private const val MAX_DOUBLINGS = 3
 private const val FETCH_DELAY_MS = 300L // by then a host that reaches the store has read the version itself
 private const val CONFIG_READERS = 3 // hosts that wait for a new configuration; the first two may be cut off
 private const val HOSTS_WITHOUT_DELAY = 3 // so many retry in an interval, however large the fleet
@@ -29,6 +32,7 @@
     private var readNumber = 0L
     private var isReading = false
     private var nextReadMs = 0L
+    private var failedReads = 0
     private var fetchAtMs: Long? = null
     private var announcer = ""
     private var era = 0L
@@ -75,7 +79,8 @@
             StoreRead.Truncated -> position = null
 
             is StoreRead.Failed -> {
-                val delayMs = storeRetryMs(RETRY_MS, fleet.liveHosts, random.nextDouble())
+                failedReads++
+                val delayMs = retryMs(now)
                 nextReadMs = now + delayMs
                 effects += SyncEffect.ReadFailed(outcome.cause, delayMs)
             }
@@ -84,6 +89,7 @@
 
     private fun onRead(read: StreamPosition) {
         val from = position
+        failedReads = 0
         // Offsets of another era were assigned again: records before this read may have been missed.
         position = read.takeIf { from == null || from.era == read.era }
         if (read.era > era) position = null
@@ -100,8 +106,17 @@
         effects += SyncEffect.ReadStore(++readNumber, position)
     }
 
-    private fun isReader(now: Long): Boolean =
-        position == null || fleet.hasReadTargets(now) || fleet.readOrder < CONFIG_READERS
+    private fun isReader(now: Long): Boolean = position == null || isOnDuty(now)
+
+    /** Whether the other hosts depend on the reads of this one. */
+    private fun isOnDuty(now: Long): Boolean = fleet.reachesStore(now) || fleet.readOrder < CONFIG_READERS
+
+    /** Only hosts without the duty to read are so many that their tries have to be spread over the fleet. */
+    private fun retryMs(now: Long): Long {
+        if (!isOnDuty(now)) return storeRetryMs(RETRY_MS, fleet.liveHosts, random.nextDouble())
+        val baseMs = minOf(MAX_DUTY_RETRY_MS, DUTY_RETRY_MS shl minOf(failedReads - 1, MAX_DOUBLINGS))
+        return storeRetryMs(baseMs, 1, random.nextDouble())
+    }
 
     /** Fetches from a random host with the newest version, so that not all hosts ask the first one that had it. */
     private fun fetch() {
--- a/src/main/kotlin/propagation/SyncMessages.kt
+++ b/src/main/kotlin/propagation/SyncMessages.kt
@@ -22,8 +22,8 @@
     /** The live hosts that answer, without this one. */
     val others: List<HostVersion>
 
-    /** Whether this host has read the targets recently, since the first hosts in order do not. */
-    fun hasReadTargets(now: Long): Boolean
+    /** Whether a read of the targets by this host has succeeded recently. */
+    fun reachesStore(now: Long): Boolean
 }
 
 /** How a read of the store ended. */
--- a/src/test/kotlin/propagation/FleetModel.kt
+++ b/src/test/kotlin/propagation/FleetModel.kt
@@ -163,7 +163,7 @@
             it.host != name
         }.map { HostVersion(it.host, known[it.host] ?: -1) }
 
-        override fun hasReadTargets(now: Long) = false
+        override fun reachesStore(now: Long) = false
 
         fun start(delayMs: Long) {
             after(delayMs) {
