Bound the time after which a host tries again to register

A host that the store rejected once registered 15 to 47 s later with 95 hosts, since the delay grew with the fleet, though no other host registers it: until then hosts with outdated seeds do not know it.

The tries spread as in a fleet of 9 hosts at most, 0.5 to 5.5 s. StoreRetrySpec has the case; the function is new, its bound does not hold for the delay before (up to 62.8 s with 95 hosts).

--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -25,6 +25,14 @@
 private const val MAX_READ_ORDER = 6
 private const val RECENT_READ_MS = 2_000L
 private const val HOSTS_RETRY_MS = 1_000L
+private const val MAX_REGISTRATION_HOSTS = 9 // a larger fleet spreads its tries no further: no other host does it instead
+
+/**
+ * Returns the time until the next try of a host to register, in a fleet of [hosts]. It has a bound, since a host that
+ * is not registered may be unknown to the others. [random] is between 0 and 1.
+ */
+internal fun registrationRetryMs(hosts: Int, random: Double): Long =
+    storeRetryMs(HOSTS_RETRY_MS, minOf(hosts, MAX_REGISTRATION_HOSTS), random)
 
 /** Callbacks of [StoreAdapter]; all are called on the control thread. */
 internal interface StoreListener {
@@ -163,7 +171,13 @@
                     controlLoop.post { onRegistered(appended.value) }
                     store.newest(KeyedTopic.HOSTS) { controlLoop.post { onHosts(it, number) } }
                 } else {
-                    controlLoop.post { controlLoop.after(retryMs(HOSTS_RETRY_MS)) { registerHost(number) } }
+                    controlLoop.post {
+                        controlLoop.after(
+                            registrationRetryMs(listener.liveHosts(), ThreadLocalRandom.current().nextDouble()),
+                        ) {
+                            registerHost(number)
+                        }
+                    }
                 }
             }
         }
@@ -178,7 +192,9 @@
         if (outcome is StoreOutcome.Done) {
             listener.onHosts(outcome.value.records.mapNotNull { it.text }.filter { it != linkAddress })
         } else {
-            controlLoop.after(retryMs(HOSTS_RETRY_MS)) { registerHost(number) }
+            controlLoop.after(registrationRetryMs(listener.liveHosts(), ThreadLocalRandom.current().nextDouble())) {
+                registerHost(number)
+            }
         }
     }
 }
--- a/src/test/kotlin/front/StoreRetrySpec.kt
+++ b/src/test/kotlin/front/StoreRetrySpec.kt
@@ -26,6 +26,11 @@
             }
         }
 
+        // A host of a large fleet that the store rejected once registered up to 47 s later.
+        test("a host that could not register tries again within seconds, whatever the size of the fleet") {
+            for (hosts in listOf(1, 9, 95, 300)) registrationRetryMs(hosts, 1.0) shouldBeLessThanOrEqual 6_000
+        }
+
         test("a host that is alone tries again after the base time, more or less by half") {
             storeRetryMs(300, 1, 0.0) shouldBe 150
             storeRetryMs(300, 1, 0.5) shouldBe 300
