Pass on what a full read of the targets changed without leaving a gap

What callers saw: nothing yet; found while looking for the cause of CONFIG elsewhere, in messages that grow with the targets. After the store had dropped its history, the host that read the targets in full told the others of a gap, and all of them fetched all targets from it 300 ms later, at the same time and with a time-out of 500 ms, though it knew the stream up to where the others do.

A full read of a host that knew the stream before is now passed on as what came since. TargetDirectorySpec: the other host stayed at position 3 of 9 before (the case failed), now it is at 9 and has the same targets. The test of renewals names the new field.

--- a/src/main/kotlin/discovery/TargetDirectory.kt
+++ b/src/main/kotlin/discovery/TargetDirectory.kt
@@ -57,8 +57,9 @@
  *
  * @property altering the changes that altered an entry of this host; most records only renew an entry.
  * @property forPeers the changes that other hosts may not know.
+ * @property knownFrom the offset from which [forPeers] has all changes.
  */
-data class ReadResult(val altering: List<EntryChange>, val forPeers: List<EntryChange>)
+data class ReadResult(val altering: List<EntryChange>, val forPeers: List<EntryChange>, val knownFrom: Long)
 
 /** The targets known to one host. Not thread-safe. */
 class TargetDirectory {
@@ -95,6 +96,9 @@
     var position = -1L
         private set
 
+    /** Offset up to which the stream was known before the position was reset, -1 if it was not. */
+    private var lastPosition = -1L
+
     /** Time of the newest read that left no gap after the known part of the stream. */
     var lastContiguousReadMs = Long.MIN_VALUE / 2
         private set
@@ -115,10 +119,11 @@
 
     /** Applies a read made [ageMs] ago by this host or a peer. */
     fun onRead(read: EntryRead, ageMs: Long, now: Long): ReadResult {
-        if (read.era < era) return ReadResult(emptyList(), emptyList())
+        if (read.era < era) return ReadResult(emptyList(), emptyList(), read.end)
         recordStoreRead(now - ageMs, now)
         if (read.era > era) startEra(read, now)
-        val forPeers = read.changes.filterNot { isKnownRenewal(it, read, now) }
+        val knownFrom = if (read.full) maxOf(position, lastPosition).takeIf { it >= 0 } ?: read.end else read.from
+        val forPeers = read.changes.filterNot { isKnownRenewal(it, read.copy(from = knownFrom), now) }
         val altering = read.changes.filter { isNewer(it, read.era) }.filter { applyChange(it, read.era, now) }
         val removed = if (read.full) removeMissing(read, now) else emptyList()
         if (read.full || (position in read.from..read.end)) {
@@ -127,7 +132,7 @@
             lastContiguousReadMs = maxOf(lastContiguousReadMs, now - ageMs)
         }
         updateTargets(now)
-        return ReadResult(altering + removed, forPeers + removed)
+        return ReadResult(altering + removed, forPeers + removed, knownFrom)
     }
 
     /** Whether all hosts that know the stream up to the start of [read] know the entry that [change] renews. */
@@ -169,6 +174,7 @@
 
     /** Resets the position, so that the next read is a full one. */
     fun resetPosition() {
+        lastPosition = maxOf(lastPosition, position)
         position = -1
     }
 
@@ -203,6 +209,7 @@
         eraSeenAtMs = now
         doubtful.clear()
         position = -1
+        lastPosition = -1
         recoveredAtMs = now
         holdUntilMs = now + RECOVERY_HOLD_MS
     }
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -354,8 +354,10 @@
         val now = clock.nowMs()
         val wasReady = directory.isReady
         storeAdapter.onEra(read.era)
-        val (changes, forPeers) = directory.onRead(read, ageMs, now)
-        if (isLocalRead && wasReady) peerUpdates.onLocalRead(read, forPeers)
+        val (changes, forPeers, knownFrom) = directory.onRead(read, ageMs, now)
+        if (isLocalRead && wasReady) {
+            peerUpdates.onLocalRead(read.copy(from = knownFrom, full = false, changes = forPeers))
+        }
         if (changes.isEmpty() && wasReady) return
         log.writeTargets(changes, read.era, isLocalRead)
         onTargetsChanged(now)
--- a/src/main/kotlin/front/PeerUpdateAdapter.kt
+++ b/src/main/kotlin/front/PeerUpdateAdapter.kt
@@ -4,7 +4,6 @@
  */
 package org.sesamerouter.front
 
-import org.sesamerouter.discovery.EntryChange
 import org.sesamerouter.discovery.EntryRead
 import org.sesamerouter.discovery.TargetIncarnation
 import org.sesamerouter.membership.ConfigurationAnswer
@@ -89,17 +88,15 @@
     }
 
     /**
-     * Queues the [changes] of a [read] that this host made from the store for the other hosts. They are sent on the
-     * next tick. A full read does not show which of its entries the other hosts lack, so it leaves a gap for those that
-     * have not read as far.
+     * Queues the changes of a [read] that this host made from the store for the other hosts. They are sent on the next
+     * tick. One that does not continue where the one before it ended leaves a gap.
      */
-    fun onLocalRead(read: EntryRead, changes: List<EntryChange>) {
-        val next = read.copy(from = if (read.full) read.end else read.from, full = false, changes = changes)
+    fun onLocalRead(read: EntryRead) {
         val before = pendingRead
         pendingRead = when {
-            before == null || before.era != next.era -> next
-            read.full -> next.copy(changes = before.changes + changes)
-            else -> next.copy(from = before.from, changes = before.changes + changes)
+            before == null || before.era != read.era -> read
+            read.from > before.end -> read.copy(changes = before.changes + read.changes)
+            else -> read.copy(from = minOf(before.from, read.from), changes = before.changes + read.changes)
         }
         pendingReadMs = host.clock.nowMs()
         updateOnNextTick()
--- a/src/test/kotlin/discovery/TargetDirectorySpec.kt
+++ b/src/test/kotlin/discovery/TargetDirectorySpec.kt
@@ -44,6 +44,18 @@
             directory.targets.keys shouldBe setOf("t1", "t2")
         }
 
+        // Each full read left a gap for all other hosts, which then fetched all targets from one host at the same time.
+        test("a host that knew the stream up to its full read tells the others what came since, without a gap") {
+            val entries = arrayOf(EntryChange("t1", 1, entry("t1")), EntryChange("t2", 2, entry("t2")))
+            val reader = TargetDirectory().also { it.onRead(full(3, *entries), 0, 0) }
+            val other = TargetDirectory().also { it.onRead(full(3, *entries), 0, 0) }
+            reader.resetPosition()
+            val result = reader.onRead(full(9, EntryChange("t1", 7, entry("t1", draining = true))), 0, 20_000)
+            other.onRead(delta(result.knownFrom, 9, *result.forPeers.toTypedArray()), 0, 20_010)
+            other.position shouldBe 9
+            other.targets shouldBe reader.targets
+        }
+
         test("an older record does not replace a newer one") {
             val directory = TargetDirectory()
             directory.onRead(full(5, EntryChange("t1", 4, entry("t1", draining = true))), 0, 0)
@@ -165,7 +177,7 @@
             val directory = TargetDirectory()
             directory.onRead(full(5, EntryChange("t1", 4, entry("t1"))), 0, 0).altering.size shouldBe 1
             val renewal = delta(5, 6, EntryChange("t1", 5, entry("t1")))
-            directory.onRead(renewal, 0, 10) shouldBe ReadResult(emptyList(), emptyList())
+            directory.onRead(renewal, 0, 10) shouldBe ReadResult(emptyList(), emptyList(), knownFrom = 5)
             directory.position shouldBe 6
         }
 
