Do not skip records of the store that may hold the newest configuration

What callers saw: nothing; found when the change was read again. A reader that was more than a read behind continued at the last record of the topic. If that was a record with another key, the configuration before it was never read. The old record of a host that membership passes on also hid that the host has a newer version.

The newest configuration is now read by key, and an older announcement is kept out. ConfigurationSyncSpec has both cases; ConfigurationSpreadSpec, FrontHostSpec, StoreReadSpec and PlatformDecodersSpec pass.

--- a/src/main/kotlin/front/ConfigurationAdapter.kt
+++ b/src/main/kotlin/front/ConfigurationAdapter.kt
@@ -162,8 +162,8 @@
                 storeState.update(isReachable = true, "configuration")
                 val newest: KeyedRecord? = records.records.lastOrNull { it.key == CONFIGURATION_KEY }
                 newest?.text?.let { listener.onConfig(it, STORE) }
-                // Each record is a whole configuration: those before the newest one are not read.
-                val position = StreamPosition(records.era, maxOf(records.end, records.available - 1))
+                // Each record is a whole configuration: of those that are left, only the newest one is read.
+                val position = StreamPosition(records.era, records.end).takeIf { records.available <= records.end }
                 apply(sync.onStoreRead(number, StoreRead.Done(position), clock.nowMs()))
                 listener.onStoreEra(records.era)
             }
--- a/src/main/kotlin/front/PeerUpdateAdapter.kt
+++ b/src/main/kotlin/front/PeerUpdateAdapter.kt
@@ -123,8 +123,8 @@
     }
 
     /**
-     * Announces a new version without waiting for a tick. The difference to it, if there is one, goes to all hosts if it
-     * [isForAll], and to a few at random, since a relay may have failed.
+     * Announces a new version without waiting for a tick. The difference to it, if there is one, goes to a few hosts at
+     * random, since a relay may have failed, and to all of them if it [isForAll].
      */
     fun onNewConfiguration(delta: ConfigurationDelta?, isForAll: Boolean) {
         if (isForAll) pendingDelta = delta
--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -25,7 +25,7 @@
 private const val MAX_READ_ORDER = 6
 private const val RECENT_READ_MS = 2_000L
 private const val HOSTS_RETRY_MS = 1_000L
-private const val MAX_REGISTRATION_HOSTS = 9 // a larger fleet spreads its tries no further: no other host does it instead
+private const val MAX_REGISTRATION_HOSTS = 9 // no other host registers this one, so the spread has a bound
 
 /**
  * Returns the time until the next try of a host to register, in a fleet of [hosts]. It has a bound, since a host that
--- a/src/main/kotlin/platform/StoreClient.kt
+++ b/src/main/kotlin/platform/StoreClient.kt
@@ -27,7 +27,7 @@
 private const val OK_STATUS = 200
 private const val GONE_STATUS = 410
 private const val REPLY_TIMEOUT_MS = 900L // the store replies within a few ms, or 200 ms when slow
-private const val TRANSFER_TIMEOUT_MS = 5_000L // of a reply that keeps arriving; a large one passes the slowest link in 2 s
+private const val TRANSFER_TIMEOUT_MS = 5_000L // of a reply that keeps arriving; a large one takes up to 2 s
 private const val READ_HEADER_BYTES = 16
 private const val MAX_REPLY_BYTES = 8 * 1024 * 1024 // a read returns up to 1 MB, or one record more than that
 private const val MAX_KEY_BYTES = 255
--- a/src/main/kotlin/propagation/ConfigurationSync.kt
+++ b/src/main/kotlin/propagation/ConfigurationSync.kt
@@ -72,7 +72,9 @@
 
     /** Handles that [host] has [version] in force. */
     fun onAnnounced(host: String, version: Long, now: Long): List<SyncEffect> = effectsOf {
-        announced[host] = Announcement(version, now)
+        // Membership passes on old records of a host. One that has less than it had tells so when it is asked.
+        val known = announced[host]
+        if (known == null || version >= known.version) announced[host] = Announcement(version, now)
         if (version > fleet.version && fetchedFrom == null && nextFetchMs == null) {
             scheduleFetch(now, FETCH_DELAY_MS + random.nextLong(FETCH_SPREAD_MS))
         }
@@ -205,12 +207,11 @@
 
     private fun versionOf(host: OtherHost): Long = announced[host.host]?.version ?: -1
 
-    private fun onRead(read: StreamPosition) {
+    private fun onRead(read: StreamPosition?) {
         val from = position
         failedReads = 0
         // Offsets of another era were assigned again: records before this read may have been missed.
-        position = read.takeIf { from == null || from.era == read.era }
-        if (read.era > era) position = null
+        position = read?.takeIf { (from == null || from.era == it.era) && it.era <= era }
     }
 
     private fun readNewest() {
--- a/src/main/kotlin/propagation/SyncMessages.kt
+++ b/src/main/kotlin/propagation/SyncMessages.kt
@@ -94,8 +94,8 @@
 
 /** How a read of the store ended. */
 sealed interface StoreRead {
-    /** The next read continues at [position]. */
-    data class Done(val position: StreamPosition) : StoreRead
+    /** The next read continues at [position]; null if more records were there than it returned. */
+    data class Done(val position: StreamPosition?) : StoreRead
 
     /** The records that were asked for are no longer retained. */
     data object Truncated : StoreRead
--- a/src/main/kotlin/propagation/TextDelta.kt
+++ b/src/main/kotlin/propagation/TextDelta.kt
@@ -45,7 +45,7 @@
     return compress(cbor.encodeToByteArray(TextDelta.serializer(), delta))
 }
 
-/** Returns the text that the difference [bytes] makes of [base]; null if it is invalid or was made from another base. */
+/** Returns what the difference [bytes] makes of [base]; null if it is invalid or was made from another base. */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun applyDelta(base: String?, bytes: ByteArray): String? {
     val delta = try {
--- a/src/test/kotlin/membership/StateUpdateSizeSpec.kt
+++ b/src/test/kotlin/membership/StateUpdateSizeSpec.kt
@@ -21,8 +21,8 @@
 private const val WEAKEST_LINK_BYTES_PER_S = 875_000.0 // 7 Mbit/s
 
 /**
- * In a burst of 400 requests for engines a second, each changes the load of one engine twice: with 260 updates a second,
- * 3.1 reports an update.
+ * In a burst of 400 requests for engines a second, each changes the load of one engine twice. With 260 updates a
+ * second that makes 3.1 reports an update.
  */
 private fun update(host: Int, random: Random): ServingRequest.StateUpdate {
     val engines = (0 until ENGINES).filter { random.nextInt(20) == 0 }.map { engine ->
--- a/src/test/kotlin/propagation/ConfigurationSpreadSpec.kt
+++ b/src/test/kotlin/propagation/ConfigurationSpreadSpec.kt
@@ -37,7 +37,7 @@
 
 class ConfigurationSpreadSpec :
     FunSpec({
-        // The hosts that wait at the store all lost their reads and repeated them seconds later, with nobody else reading.
+        // The hosts that wait at the store lost their reads and repeated them seconds later; nobody else reads.
         test("changes beside a cut of all waiting reads are in force on every host soon after the cut") {
             val late = seeds(1).mapNotNull { seed ->
                 val random = Random(seed)
--- a/src/test/kotlin/propagation/ConfigurationSyncSpec.kt
+++ b/src/test/kotlin/propagation/ConfigurationSyncSpec.kt
@@ -119,6 +119,21 @@
             host.nextFetch() shouldBe null
         }
 
+        test("after a read that left records unread, the newest configuration is read") {
+            val host = Follower()
+            host.sync.onAnnounced("a", 9, 0)
+            repeat(4) { host.sync.onFetched(checkNotNull(host.nextFetch()).number, null, host.nowMs) }
+            host.sync.onStoreRead(2, StoreRead.Done(null), host.nowMs)
+            host.sync.onTick(host.nowMs) shouldContain SyncEffect.ReadStore(3, null)
+        }
+
+        test("an old record of a host does not hide that it has a newer version") {
+            val host = Follower()
+            host.sync.onAnnounced("a", 9, 0)
+            host.sync.onAnnounced("a", 2, 10)
+            checkNotNull(host.nextFetch()).host shouldBe "a"
+        }
+
         test("only the hosts that the others depend on wait at the store") {
             val host = Follower()
             host.sync.onTick(10_000).shouldBeEmpty()
