--- a/src/main/kotlin/front/StartupProbe.kt
+++ b/src/main/kotlin/front/StartupProbe.kt
@@ -86,9 +86,12 @@
     retrySlack = 1.0,
 )
 
+/** A loopback address of this process: on 127.0.0.1 an outgoing connection may take a port before it is bound. */
+private val ownIp = ProcessHandle.current().pid().let { "127.${100 + it % 100}.${it / 100 % 250}.1" }
+
 /** Returns a loopback address whose port was free a moment ago. */
 internal fun freeAddress(): String =
-    ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
+    ServerSocket(0, 1, InetAddress.getByName(ownIp)).use { "$ownIp:${it.localPort}" }
 
 private fun processCpuMs(): Long = ProcessHandle.current().info().totalCpuDuration().map { it.toMillis() }.orElse(-1)
 
--- a/src/test/kotlin/front/Site.kt
+++ b/src/test/kotlin/front/Site.kt
@@ -74,7 +74,7 @@
     fun startHost() {
         val link = freeAddress()
         val hostSettings = FrontSettings(
-            name = "host-${hosts.size}", ip = "127.0.0.1", dataCentre = "west", requestAddress = freeAddress(),
+            name = "host-${hosts.size}", ip = link.substringBeforeLast(':'), dataCentre = "west", requestAddress = freeAddress(),
             readyAddress = freeAddress(), directoryAddress = freeAddress(), linkAddress = link,
             seedAddresses = settings.map { it.linkAddress } + link, storeAddress = storeAddress, graceMs = graceMs,
             addressTtlMs = 2_000, retryShare = 0.1, retrySlack = retrySlack,
@@ -100,7 +100,7 @@
     fun targetCount(host: Int): Int = metric(host, "targets_known")
 
     private fun metric(host: Int, name: String): Int =
-        send("127.0.0.1:${metricsPorts[host]}", "GET", "/metrics").get().body.lines()
+        send("${settings[host].ip}:${metricsPorts[host]}", "GET", "/metrics").get().body.lines()
             .single { it.startsWith("sesamerouter_$name ") }.substringAfterLast(' ').toDouble().toInt()
 
     fun readiness(host: Int): Int = send(settings[host].readyAddress, "GET", "/v1/ready").get().status
