--- a/src/test/kotlin/front/Site.kt
+++ b/src/test/kotlin/front/Site.kt
@@ -74,7 +74,8 @@
     fun startHost() {
         val link = freeAddress()
         val hostSettings = FrontSettings(
-            name = "host-${hosts.size}", ip = link.substringBeforeLast(':'), dataCentre = "west", requestAddress = freeAddress(),
+            name = "host-${hosts.size}",
+            ip = link.substringBefore(':'), dataCentre = "west", requestAddress = freeAddress(),
             readyAddress = freeAddress(), directoryAddress = freeAddress(), linkAddress = link,
             seedAddresses = settings.map { it.linkAddress } + link, storeAddress = storeAddress, graceMs = graceMs,
             addressTtlMs = 2_000, retryShare = 0.1, retrySlack = retrySlack,
