--- a/src/main/kotlin/front/StartupProbe.kt
+++ b/src/main/kotlin/front/StartupProbe.kt
@@ -90,8 +90,7 @@
 private val ownIp = ProcessHandle.current().pid().let { "127.${100 + it % 100}.${it / 100 % 250}.1" }
 
 /** Returns a loopback address whose port was free a moment ago. */
-internal fun freeAddress(): String =
-    ServerSocket(0, 1, InetAddress.getByName(ownIp)).use { "$ownIp:${it.localPort}" }
+internal fun freeAddress(): String = ServerSocket(0, 1, InetAddress.getByName(ownIp)).use { "$ownIp:${it.localPort}" }
 
 private fun processCpuMs(): Long = ProcessHandle.current().info().totalCpuDuration().map { it.toMillis() }.orElse(-1)
 
