--- a/src/test/kotlin/propagation/ConfigurationSyncSpec.kt
+++ b/src/test/kotlin/propagation/ConfigurationSyncSpec.kt
@@ -1,5 +1,5 @@
 /*
- * Tests when one host asks for a configuration, and whom.
+ * Tests when a host requests a configuration, and from which host.
  */
 package org.sesamerouter.propagation
 
