Log the prompt parts of requests and each response that a target did not complete

The line request names the shared parts, response-lost the target, its start, the parts and for how long the response had been sent and begun; target-death names the incarnation. Counters: forward_lost by begun, target_deaths.

mvn test -Dtest='RequestFlowsSpec,FrontHostSpec,DependencyRulesSpec': 44 passed.

--- a/src/main/kotlin/front/CallerExchanges.kt
+++ b/src/main/kotlin/front/CallerExchanges.kt
@@ -97,7 +97,8 @@
                     "request", "request" to request.id, "flow" to request.flow, "route" to route.name,
                     "version" to config.version, "service" to request.service, "organisation" to organisation?.name,
                     "rank" to request.rank, "pieces" to request.pieces.joinToString(","),
-                    "left-ms" to request.deadlineMs - now, "kept-connection" to incoming.isOnKeptConnection,
+                    "parts" to request.sharedParts.forLog(), "left-ms" to request.deadlineMs - now,
+                    "kept-connection" to incoming.isOnKeptConnection,
                 )
                 context.post(FlowEvent.Arrived(request))
             }
--- a/src/main/kotlin/front/DecisionLines.kt
+++ b/src/main/kotlin/front/DecisionLines.kt
@@ -6,6 +6,9 @@
 import org.sesamerouter.discovery.EntryChange
 import org.sesamerouter.serving.FlowEffect
 
+private const val MAX_LOGGED_PARTS = 6
+private const val MAX_LOGGED_ID_LENGTH = 24
+
 /** Writes a send or a rejection that was decided at [now] with targets read [targetsAgeMs] ago. */
 internal fun DecisionLog.writeDecision(effect: FlowEffect, now: Long, targetsAgeMs: Long) {
     when (effect) {
@@ -29,10 +32,26 @@
             "targets-age-ms" to targetsAgeMs,
         )
 
+        is FlowEffect.ResponseLost -> write(
+            "response-lost",
+            "flow" to effect.send.flow,
+            "send" to effect.send.number,
+            "target" to effect.target.id,
+            "start-ms" to effect.target.startTimeMs,
+            "parts" to effect.parts.forLog(),
+            "sent-for-ms" to effect.sentForMs,
+            "begun-for-ms" to effect.begunForMs,
+        )
+
         else -> Unit
     }
 }
 
+/** Joins ids of prompt parts for a log line of bounded length. */
+internal fun List<String>.forLog(): String =
+    take(MAX_LOGGED_PARTS).joinToString(",") { it.take(MAX_LOGGED_ID_LENGTH) } +
+        if (size > MAX_LOGGED_PARTS) ",..." else ""
+
 /** Writes the [changes] of targets that were read in [era] of the store, by this host if [isLocalRead]. */
 internal fun DecisionLog.writeTargets(changes: List<EntryChange>, era: Long, isLocalRead: Boolean) = changes.forEach {
     write(
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -296,8 +296,19 @@
 
             is FlowEffect.FreeResults -> stages.free(effect.service, effect.handles)
 
+            is FlowEffect.ResponseLost -> {
+                metrics.countLost(isBegun = effect.begunForMs != null)
+                log.writeDecision(effect, now, now - directory.lastContiguousReadMs)
+            }
+
             is FlowEffect.BroadcastDeath -> {
-                log.write("target-death", "target" to effect.notice.target, "request" to effect.notice.fingerprint)
+                metrics.targetDeaths.increment()
+                log.write(
+                    "target-death",
+                    "target" to effect.notice.target,
+                    "start-ms" to effect.notice.targetIncarnation,
+                    "request" to effect.notice.fingerprint,
+                )
                 peerUpdates.onDeath(effect.notice)
             }
 
--- a/src/main/kotlin/front/FrontMetrics.kt
+++ b/src/main/kotlin/front/FrontMetrics.kt
@@ -19,6 +19,7 @@
     val sends: Counter = registry.counter("sesamerouter.forward.sends")
     val stageCalls: Counter = registry.counter("sesamerouter.stage.calls")
     val stagePieces: Counter = registry.counter("sesamerouter.stage.pieces")
+    val targetDeaths: Counter = registry.counter("sesamerouter.target.deaths")
     val firstByteMs: DistributionSummary = latency("sesamerouter.forward.first.byte.ms")
     val answerMs: DistributionSummary = latency("sesamerouter.forward.answer.ms")
 
@@ -32,6 +33,10 @@
     fun countResponse(outcome: String, endedBy: String) =
         registry.counter("sesamerouter.forward.responses", "outcome", outcome, "ended.by", endedBy).increment()
 
+    /** Counts a response that its target did not complete, by whether it had begun. */
+    fun countLost(isBegun: Boolean) =
+        registry.counter("sesamerouter.forward.lost", "begun", isBegun.toString()).increment()
+
     fun gauge(name: String, supplier: () -> Number) {
         Gauge.builder("sesamerouter.$name") { supplier() }.register(registry)
     }
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -35,7 +35,10 @@
     val promptParts: List<PromptPart> = emptyList(),
     val fingerprint: String = "",
     val lastEventId: String? = null,
-)
+) {
+    /** Ids of the parts of the prompt that other requests may hold as well: all but the last one. */
+    val sharedParts: List<String> get() = promptParts.dropLast(1).map { it.id }
+}
 
 /** Identifies one send of a request. */
 data class SendId(val flow: Long, val number: Int)
@@ -161,6 +164,20 @@
     /** Reports to the other hosts that a target died while it ran a request, whether or not that was the cause. */
     data class BroadcastDeath(val notice: DeathNotice) : FlowEffect
 
+    /**
+     * Records that a target ended a response before its end, for the log.
+     *
+     * @property parts the parts of the prompt that other requests may hold as well.
+     * @property begunForMs time since the response began; null if it had not.
+     */
+    data class ResponseLost(
+        val send: SendId,
+        val target: TargetEntry,
+        val parts: List<String>,
+        val sentForMs: Long,
+        val begunForMs: Long?,
+    ) : FlowEffect
+
     /** The request has ended and its state was removed. */
     data class Ended(val flow: Long, val outcome: String, val sends: Int) : FlowEffect
 }
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -309,12 +309,21 @@
         if (mayRunAgain && retryBudget(flow.request.service).canWithdraw) effects += FlowEffect.GiveUpSend(send)
     }
 
-    private fun recordLoss(flow: Flow, attempt: SendAttempt, now: Long) = crashAttribution.onRequestLost(
-        flow.request.fingerprint,
-        attempt.target.id,
-        attempt.target.startTimeMs.toString(),
-        now,
-    )
+    private fun recordLoss(flow: Flow, attempt: SendAttempt, now: Long) {
+        crashAttribution.onRequestLost(
+            flow.request.fingerprint,
+            attempt.target.id,
+            attempt.target.startTimeMs.toString(),
+            now,
+        )
+        effects += FlowEffect.ResponseLost(
+            attempt.id,
+            attempt.target,
+            flow.request.sharedParts,
+            now - attempt.sentMs,
+            attempt.firstEventMs?.let { now - it },
+        )
+    }
 
     private fun onTargetDown(target: String, startTimeMs: Long, now: Long) {
         for (notice in crashAttribution.onTargetDown(target, startTimeMs.toString(), now)) {
