Hold back the parts of prompts that crash engines, in the whole fleet

Cause: crashes were counted for the whole request, and no two of these requests are alike, so that none ever had a second one.

Change: each crash makes suspects of the parts, but the last, of the responses that had just begun there; a response that gets past its beginning clears its parts everywhere; what is left after three crashes is held back by all hosts and tried again by one request in the fleet after 30 s, then at twice the time (PartQuarantine). A target that ends a connection is checked at once (TargetChecks); a repeat waits for the result and is given up while its prompt is suspected (CrashGuard). A refused connection tells of a crash, one that timed out does not. The rule for whole requests is unchanged; both rules are fed by the same notices.

--- a/src/main/kotlin/engine/EngineTable.kt
+++ b/src/main/kotlin/engine/EngineTable.kt
@@ -80,6 +80,13 @@
         return available.minByOrNull { cost(it, prompt, now) }
     }
 
+    /** Returns the engine of [candidates] with the fewest streams, where a crash would cut the fewest responses. */
+    fun leastBusy(candidates: List<TargetEntry>, now: Long): TargetEntry? = candidates.minByOrNull { candidate ->
+        val engine = engines[candidate.id] ?: return@minByOrNull Int.MAX_VALUE
+        val peers = engine.peerReports.values.filter { now - it.second < PEER_REPORT_TTL_MS }
+        engine.streams + peers.sumOf { it.first.streams }
+    }
+
     /** Returns the expected time in ms until [prompt] starts at [entry], including the transfer cost of its inputs. */
     fun cost(entry: TargetEntry, prompt: Prompt, now: Long): Double {
         val engine = engines[entry.id] ?: return Double.MAX_VALUE
--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -18,6 +18,7 @@
 import org.sesamerouter.platform.encodeResponseHeaders
 import org.sesamerouter.platform.encodeSendHeaders
 import org.sesamerouter.platform.responseIdOf
+import org.sesamerouter.serving.BEGINNING_MS
 import org.sesamerouter.serving.FlowEffect
 import org.sesamerouter.serving.FlowEvent
 import org.sesamerouter.serving.ForwardRequest
@@ -183,6 +184,14 @@
         var call: ForwardCall? = null
         var lastProgressMs = deps.clock.nowMs()
         var isStarted = false
+        private var startedMs = 0L
+        private var isPastBeginning = false
+
+        /** Whether any of the body, whole events in a stream, was passed on. */
+        private var hasEvents = false
+
+        /** Time from the start of the response to the last of it that was passed on. */
+        private val activeForMs get() = lastProgressMs - startedMs
         private var head: ResponseHead? = null
         private var status = 0
         private var headers: HttpHeaders? = null
@@ -209,6 +218,7 @@
                 return
             }
             isStarted = true
+            startedMs = lastProgressMs
             deps.metrics.firstByteMs.record(elapsedMs())
             if (isEvents) splitter = EventSplitter()
             if (!incoming.isResponseStarted) startResponse(status, headers)
@@ -231,7 +241,7 @@
             val forwarded = if (events == null) content.retain() else events.add(content)
             if (forwarded != null) {
                 // Single bytes of an event are no progress: a stalled target may send some now and then.
-                lastProgressMs = deps.clock.nowMs()
+                onProgress()
                 incoming.write(forwarded)
             }
             if (events?.isTooLong == true) {
@@ -241,6 +251,14 @@
             if (!incoming.isWritable) call?.setReading(false)
         }
 
+        private fun onProgress() {
+            hasEvents = true
+            lastProgressMs = deps.clock.nowMs()
+            if (isPastBeginning || activeForMs < BEGINNING_MS) return
+            isPastBeginning = true
+            post(FlowEvent.ResponsePastBeginning(id))
+        }
+
         private fun onFailedBody(content: ByteBuf) {
             when {
                 failedBody.size() + content.readableBytes() <= MAX_BUFFERED_BYTES ->
@@ -265,6 +283,10 @@
                 val cause = "the stream ended inside an event"
                 return onFailed(CallFailure(CallProgress.SENT, cause, BreakReason.INSIDE_EVENT))
             }
+            if (splitter != null && !hasEvents && framing == BodyFraming.CONNECTION_END) {
+                val cause = "the stream ended with its connection before its first event"
+                return onFailed(CallFailure(CallProgress.SENT, cause, BreakReason.CLOSED))
+            }
             currentSend = null
             val decoded = head ?: return onFailed(CallFailure(CallProgress.SENT, "a response without a head"))
             when {
@@ -274,7 +296,8 @@
                     deps.remove()
                     deps.metrics.answerMs.record(elapsedMs())
                     deps.metrics.countResponse("complete", framing.name)
-                    post(FlowEvent.ResponseCompleted(id, status, "ended by $framing"))
+                    val isEndCertain = framing != BodyFraming.CONNECTION_END
+                    post(FlowEvent.ResponseCompleted(id, status, "ended by $framing", isEndCertain))
                 }
 
                 decoded.isNotRun -> post(FlowEvent.SendFailed(id, SendFailure.NotRun(status), decoded.load))
@@ -294,10 +317,23 @@
             currentSend = null
             val cause = if (isStarted) "${failure.cause}, framed by $framing" else failure.cause
             if (isStarted) deps.metrics.countResponse("broken off", failure.reason.name)
+            val mayBeCrash = failure.reason in CRASH_REASONS
             val sendFailure = when {
-                isStarted -> SendFailure.Broken(splitter?.isResumable == true, splitter?.lastId, cause)
-                failure.progress == CallProgress.SENT -> SendFailure.Lost(cause)
-                failure.progress == CallProgress.UNREACHABLE -> SendFailure.NotSent(cause)
+                isStarted -> SendFailure.Broken(
+                    splitter?.isResumable == true,
+                    splitter?.lastId,
+                    cause,
+                    mayBeCrash,
+                    activeForMs,
+                    hasEvents,
+                )
+
+                failure.progress == CallProgress.SENT ->
+                    SendFailure.Lost(cause, mayBeCrash, mayHaveBegun = failure.reason == BreakReason.RESET)
+
+                failure.progress == CallProgress.UNREACHABLE ->
+                    SendFailure.NotSent(cause, isRefused = failure.reason == BreakReason.REFUSED)
+
                 else -> SendFailure.NotAttempted(cause)
             }
             post(FlowEvent.SendFailed(id, sendFailure))
@@ -306,5 +342,8 @@
 
     private companion object {
         val SUCCESS_STATUSES = 200..299
+
+        /** What a crash of the target may look like. */
+        val CRASH_REASONS = setOf(BreakReason.CLOSED, BreakReason.RESET, BreakReason.INSIDE_EVENT, BreakReason.SILENT)
     }
 }
--- a/src/main/kotlin/front/DecisionLines.kt
+++ b/src/main/kotlin/front/DecisionLines.kt
@@ -6,8 +6,8 @@
 import org.sesamerouter.discovery.EntryChange
 import org.sesamerouter.serving.FlowEffect
 
-private const val MAX_LOGGED_PARTS = 6
-private const val MAX_LOGGED_ID_LENGTH = 24
+private const val MAX_LOGGED_IDS = 6
+private const val MAX_LOGGED_ID_LENGTH = 32
 
 /** Writes a send or a rejection that was decided at [now] with targets read [targetsAgeMs] ago. */
 internal fun DecisionLog.writeDecision(effect: FlowEffect, now: Long, targetsAgeMs: Long) {
@@ -29,6 +29,8 @@
             "reason" to effect.reason,
             "retry-after-ms" to effect.retryAfterMs,
             "stages-ms" to effect.stageMs.joinToString(","),
+            "part" to effect.heldPart?.take(MAX_LOGGED_ID_LENGTH),
+            "crashes" to effect.crashes.forLog(),
             "targets-age-ms" to targetsAgeMs,
         )
 
@@ -47,10 +49,21 @@
     }
 }
 
-/** Joins ids of prompt parts for a log line of bounded length. */
-internal fun List<String>.forLog(): String =
-    take(MAX_LOGGED_PARTS).joinToString(",") { it.take(MAX_LOGGED_ID_LENGTH) } +
-        if (size > MAX_LOGGED_PARTS) ",..." else ""
+/** Writes what this host believes about a part of prompts from now on, and the crashes that count against it. */
+internal fun DecisionLog.writePartChange(effect: FlowEffect.QuarantineChanged) = write(
+    "part",
+    "part" to effect.change.part.take(MAX_LOGGED_ID_LENGTH),
+    "change" to effect.change.kind,
+    "crashes" to effect.change.crashes.forLog(),
+    "count" to effect.change.crashes.size,
+    "own" to effect.change.isOwn,
+    "trials" to effect.held?.trials,
+    "next-trial-ms" to effect.held?.nextTrialInMs,
+)
+
+/** Joins ids for a log line of bounded length. */
+internal fun List<String>.forLog(): String = take(MAX_LOGGED_IDS).joinToString(",") { it.take(MAX_LOGGED_ID_LENGTH) } +
+    if (size > MAX_LOGGED_IDS) ",..." else ""
 
 /** Writes the [changes] of targets that were read in [era] of the store, by this host if [isLocalRead]. */
 internal fun DecisionLog.writeTargets(changes: List<EntryChange>, era: Long, isLocalRead: Boolean) = changes.forEach {
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -28,6 +28,7 @@
 import org.sesamerouter.propagation.ConfigurationLag
 import org.sesamerouter.propagation.FleetView
 import org.sesamerouter.propagation.OtherHost
+import org.sesamerouter.quarantine.DEATHS_TO_QUARANTINE_SHARED
 import org.sesamerouter.quarantine.Quarantine
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.routing.TargetNotice
@@ -37,6 +38,7 @@
 import org.sesamerouter.serving.FlowEvent
 import org.sesamerouter.serving.RequestFlows
 import org.sesamerouter.serving.ServingConfig
+import org.sesamerouter.serving.TargetVerdict
 import org.sesamerouter.web.ForwardClient
 import org.sesamerouter.web.IncomingRequest
 import org.sesamerouter.web.RequestLimits
@@ -52,7 +54,8 @@
 private const val PROBE_INTERVAL_MS = 400L // a dead host is removed from address responses within a few intervals
 private const val QUARANTINE_MS = 60_000L // a request that crashes targets is retried within seconds
 private const val QUARANTINE_CAPACITY = 4_096
-private const val DEATHS_TO_QUARANTINE = 3 // two can coincide by chance when a quarter of a service crashes
+private const val TRIAL_TURN_MS = 8_000L // for each host in turn, if no request with the part comes to one
+private const val TRIAL_START_MS = 4_000L // the first part of a turn, so that the turns of two hosts do not overlap
 
 // Share of the common retry slack that is used; the rest covers restarts and membership changes.
 private const val RETRY_SLACK_SHARE = 0.6
@@ -98,7 +101,7 @@
         log,
         ::onStageEnded,
     )
-    internal val quarantine = Quarantine(QUARANTINE_MS, QUARANTINE_CAPACITY, DEATHS_TO_QUARANTINE)
+    internal val quarantine = Quarantine(QUARANTINE_MS, QUARANTINE_CAPACITY, DEATHS_TO_QUARANTINE_SHARED)
     internal val flows = RequestFlows(
         HostFlowContext(),
         engines,
@@ -107,6 +110,7 @@
         settings.dataCentre,
         ::newBudget,
     )
+    private val checks = TargetChecks(client, eventLoop, ::onTargetChecked)
     private val servers = ArrayList<RequestServer>()
 
     internal val lag = ConfigurationLag()
@@ -174,6 +178,8 @@
 
     private fun registerGauges() {
         metrics.gauge("forward.in.progress") { flows.inProgress }
+        metrics.gauge("quarantine.parts") { quarantine.parts.size }
+        metrics.gauge("quarantine.parts.held") { quarantine.parts.heldBack }
         metrics.gauge("stage.waiting") { stages.waiting }
         metrics.gauge("targets.known") { directory.targets.size }
         metrics.gauge("members.live") { membership.live().size }
@@ -223,7 +229,7 @@
 
     private fun tick() {
         val now = clock.nowMs()
-        if (flows.inProgress > 0) post(FlowEvent.Tick, now)
+        if (flows.inProgress > 0 || quarantine.parts.hasPending) post(FlowEvent.Tick, now)
         stages.onTick(now)
         membership.onTick(now).forEach(link::sendProbe)
         peers.onTick(now)
@@ -296,6 +302,14 @@
 
             is FlowEffect.FreeResults -> stages.free(effect.service, effect.handles)
 
+            is FlowEffect.CheckTarget -> checkTarget(effect.target)
+
+            is FlowEffect.QuarantineChanged -> {
+                metrics.countPartChange(effect.change.kind)
+                log.writePartChange(effect)
+                peerUpdates.onPartChange(effect)
+            }
+
             is FlowEffect.ResponseLost -> {
                 metrics.countLost(isBegun = effect.begunForMs != null)
                 log.writeDecision(effect, now, now - directory.lastContiguousReadMs)
@@ -308,6 +322,7 @@
                     "target" to effect.notice.target,
                     "start-ms" to effect.notice.targetIncarnation,
                     "request" to effect.notice.fingerprint,
+                    "parts" to effect.notice.parts.forLog(),
                 )
                 peerUpdates.onDeath(effect.notice)
             }
@@ -325,6 +340,33 @@
         }
     }
 
+    private fun checkTarget(target: TargetEntry) {
+        val healthPath = config?.services?.get(target.service)?.healthPath ?: return
+        checks.start(target, healthPath)
+    }
+
+    private fun onTargetChecked(target: TargetEntry, verdict: TargetVerdict, cause: String) = controlLoop.post {
+        // A target that leaves ends without having crashed, whatever ended its responses.
+        val isLeaving = directory.targets[target.id]?.isDraining ?: true
+        val known = if (verdict == TargetVerdict.CRASHED && isLeaving) TargetVerdict.UNKNOWN else verdict
+        log.write(
+            "target-check",
+            "target" to target.id,
+            "start-ms" to target.startTimeMs,
+            "verdict" to known,
+            "leaving" to isLeaving,
+            "why" to cause,
+        )
+        post(FlowEvent.TargetChecked(target, known), clock.nowMs())
+    }
+
+    /** Whether this host tries [part] again: the hosts take turns of [TRIAL_TURN_MS] in an order by the part. */
+    internal fun isTurnToTry(part: String, overdueMs: Long): Boolean {
+        if (overdueMs % TRIAL_TURN_MS >= TRIAL_START_MS) return false
+        val turn = "try $part ${overdueMs / TRIAL_TURN_MS}"
+        return (owners() + self).minBy { rendezvous(turn, it.host) }.host == self.host
+    }
+
     private fun onStageEnded(job: String, outcome: JobOutcome) {
         if (outcome.failure != null) log.write("stage-failed", "job" to job, "why" to outcome.failure)
         post(FlowEvent.StageEnded(job, outcome), clock.nowMs())
@@ -462,6 +504,8 @@
             return maxOf(1, limit / maxOf(1, membership.live().size))
         }
 
+        override fun mayTryPart(part: String, overdueMs: Long): Boolean = isTurnToTry(part, overdueMs)
+
         override fun expectedStageMs(service: String, rank: Int, dueMs: Long) =
             stages.expectedStageMs(service, rank, dueMs)
 
--- a/src/main/kotlin/front/PeerUpdateAdapter.kt
+++ b/src/main/kotlin/front/PeerUpdateAdapter.kt
@@ -20,11 +20,15 @@
 import org.sesamerouter.membership.StateReply
 import org.sesamerouter.propagation.ConfigurationDelta
 import org.sesamerouter.quarantine.DeathNotice
+import org.sesamerouter.quarantine.HeldPart
+import org.sesamerouter.quarantine.PartChangeKind
+import org.sesamerouter.serving.FlowEffect
 
 private const val UPDATE_INTERVAL_MS = 250L // about the time within which an engine starts a prompt
 private const val STATE_TIMEOUT_MS = 500L
 private const val FETCH_DELAY_MS = 300L // by then a host that reaches the store has read the version itself
 private const val DELTA_FANOUT = 2
+private const val REMINDER_INTERVAL_MS = 2_000L // for a host that missed a message; also within the users' bound of 3 s
 private const val RELAY_INTERVAL_MS = 100L // passes on updates of several hosts at a time
 private const val MAX_RELAY_INTERVAL_MS = 500L // older reports of engines are of little use
 private const val RELAYED_BYTES_PER_MS = 400L // less than half of the weakest link, 7 Mbit/s
@@ -35,6 +39,9 @@
     private var pendingReadMs = 0L
     private var pendingLeaving = emptyList<TargetIncarnation>()
     private var pendingDeaths = emptyList<DeathNotice>()
+    private var pendingSoundParts = emptyList<String>()
+    private var pendingHeldParts = emptyList<HeldPart>()
+    private var nextReminderMs = 0L
     private var pendingDelta: ConfigurationDelta? = null
     private var relayedVersion = -1L
     private val updatesToRelay = HashMap<String, MutableList<ServingRequest.StateUpdate>>()
@@ -119,7 +126,31 @@
     /** Queues [notice] for the other hosts, since the request may be retried at any of them. */
     fun onDeath(notice: DeathNotice) {
         pendingDeaths += notice
+        updateAtOnce()
+    }
+
+    /** Queues what this host found out about a part of prompts for the other hosts. */
+    fun onPartChange(effect: FlowEffect.QuarantineChanged) {
+        if (!effect.change.isOwn) return
+        val held = effect.held
+        when {
+            effect.change.kind == PartChangeKind.CLEARED -> pendingSoundParts += effect.change.part
+            effect.change.kind == PartChangeKind.HELD_BACK && held != null -> pendingHeldParts += held
+            else -> return
+        }
+        updateAtOnce()
+    }
+
+    private fun updateAtOnce() {
         updateOnNextTick()
+        host.controlLoop.post { onTick(host.clock.nowMs()) }
+    }
+
+    /** Repeats which parts are held back, for hosts that missed it. */
+    private fun remindOfHeldParts(now: Long) {
+        if (now < nextReminderMs || host.quarantine.parts.heldBack == 0) return
+        nextReminderMs = now + REMINDER_INTERVAL_MS
+        pendingHeldParts = host.quarantine.parts.heldParts(now).filter { host.isTurnToTry(it.part, 0) }
     }
 
     /**
@@ -133,8 +164,7 @@
             val update = ServingRequest.StateUpdate(host.self.host, version(), configDelta = delta)
             send(Recipients(some, isFinal = true), listOf(update))
         }
-        updateOnNextTick()
-        host.controlLoop.post { onTick(host.clock.nowMs()) }
+        updateAtOnce()
     }
 
     /** Announces at once that this host is leaving, so that the others send it no more work. */
@@ -147,6 +177,7 @@
         if (updatesToRelay.isNotEmpty() && now >= nextRelayMs) relayUpdates(now)
         if (now < nextUpdateMs) return
         nextUpdateMs = now + UPDATE_INTERVAL_MS
+        remindOfHeldParts(now)
         val update = takeUpdate(now) ?: return
         for (recipients in currentPlan().own) send(recipients, listOf(update))
     }
@@ -163,12 +194,16 @@
             pendingDeaths,
             host.configAgeMs(now),
             pendingDelta,
+            pendingSoundParts,
+            pendingHeldParts,
         )
         val hasState = update.read != null || update.engines.isNotEmpty() || update.pools.isNotEmpty()
         val isUnchanged = !hasState && !update.isUrgent && version() == sentVersion
         pendingRead = null
         pendingLeaving = emptyList()
         pendingDeaths = emptyList()
+        pendingSoundParts = emptyList()
+        pendingHeldParts = emptyList()
         pendingDelta = null
         sentVersion = version()
         return update.takeUnless { isUnchanged }
@@ -220,6 +255,8 @@
         update.read?.let { host.onTargets(it, update.readAgeMs, isLocalRead = false) }
         update.leaving.forEach { host.onLeaving(it, isLocal = false) }
         update.deaths.forEach { host.quarantine.onDeath(it, now) }
+        host.quarantine.parts.onSound(update.soundParts, isOwn = false)
+        update.heldParts.forEach { host.quarantine.parts.onHeld(it, now) }
         host.engines.onReports(update.from, update.engines, now)
         host.stages.onPoolReports(update.pools, now)
         host.lag.onAnnounced(update.configVersion, update.configAgeMs, now)
@@ -247,6 +284,7 @@
             if (state == null) return@request
             state.read?.let { if (isLackingTargets(it)) host.onTargets(it, state.readAgeMs, isLocalRead = false) }
             state.leaving.forEach { host.onLeaving(it, isLocal = false) }
+            state.heldParts.forEach { host.quarantine.parts.onHeld(it, host.clock.nowMs()) }
         }
     }
 
@@ -264,6 +302,6 @@
     private fun currentState(): StateReply {
         val read = host.directory.snapshot()
         val ageMs = host.clock.nowMs() - host.directory.lastContiguousReadMs
-        return StateReply(read, ageMs, host.directory.leaving)
+        return StateReply(read, ageMs, host.directory.leaving, host.quarantine.parts.heldParts(host.clock.nowMs()))
     }
 }
--- a/src/main/kotlin/membership/ServingMessages.kt
+++ b/src/main/kotlin/membership/ServingMessages.kt
@@ -17,6 +17,7 @@
 import org.sesamerouter.propagation.ConfigurationReply
 import org.sesamerouter.propagation.ConfigurationRequest
 import org.sesamerouter.quarantine.DeathNotice
+import org.sesamerouter.quarantine.HeldPart
 
 /** Expected time of a stage in a pool, published by the host that owns the pool's queue. */
 @Serializable
@@ -55,6 +56,8 @@
      * @property configDelta difference to that version, if the sender read it from the store and it is small.
      * @property configAgeMs time for which any host has had that version in force, as far as the sender knows.
      * @property deaths targets that died while they ran a request of the sender.
+     * @property soundParts suspected parts of prompts that a response to the sender has cleared.
+     * @property heldParts parts of prompts that the sender holds back.
      */
     @Serializable
     data class StateUpdate(
@@ -68,11 +71,13 @@
         @CborLabel(8) val deaths: List<DeathNotice> = emptyList(),
         @CborLabel(9) val configAgeMs: Long = 0,
         @CborLabel(10) val configDelta: ConfigurationDelta? = null,
+        @CborLabel(11) val soundParts: List<String> = emptyList(),
+        @CborLabel(12) val heldParts: List<HeldPart> = emptyList(),
     ) {
         /** Whether other hosts should know of the update at once, since it decides where they may send requests. */
         val isUrgent: Boolean
             get() = configDelta != null || leaving.isNotEmpty() || deaths.isNotEmpty() ||
-                read?.changes.orEmpty().isNotEmpty()
+                soundParts.isNotEmpty() || heldParts.isNotEmpty() || read?.changes.orEmpty().isNotEmpty()
     }
 
     /**
@@ -114,8 +119,15 @@
 @SerialName("configuration-reply")
 data class ConfigurationAnswer(val reply: ConfigurationReply) : PeerReply
 
-/** All targets as read from the store [readAgeMs] ago, and those that announced in a response that they are leaving. */
+/**
+ * All targets as read from the store [readAgeMs] ago, those that announced in a response that they are leaving, and the
+ * parts of prompts that are held back.
+ */
 @Serializable
 @SerialName("state")
-data class StateReply(val read: EntryRead?, val readAgeMs: Long, val leaving: List<TargetIncarnation> = emptyList()) :
-    PeerReply
+data class StateReply(
+    val read: EntryRead?,
+    val readAgeMs: Long,
+    val leaving: List<TargetIncarnation> = emptyList(),
+    val heldParts: List<HeldPart> = emptyList(),
+) : PeerReply
--- a/src/main/kotlin/platform/RequestHeaders.kt
+++ b/src/main/kotlin/platform/RequestHeaders.kt
@@ -7,9 +7,11 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
+import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.engine.PromptPart
 import org.sesamerouter.routing.ReportedLoad
 import org.sesamerouter.routing.TargetNotice
+import org.sesamerouter.web.OutgoingRequest
 import org.sesamerouter.web.ResponseId
 import kotlin.math.ceil
 
@@ -18,6 +20,7 @@
 private const val LAST_EVENT_ID = "Last-Event-Id"
 private const val ORGANISATION = "Tenant"
 private const val EXPECTED_TARGET = "Expect-Instance"
+private const val ANSWERING_TARGET = "Instance-Id"
 private const val SERVER_LOAD = "Server-Load"
 private const val NOT_RUN = "Not-Run"
 private const val RETRY_AFTER = "Retry-After"
@@ -115,6 +118,14 @@
     .set(EXPECTED_TARGET, targetId)
     .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
 
+/** Encodes the request for the health of [target] at [path]; another incarnation there rejects it. */
+fun encodeTargetCheck(target: TargetEntry, path: String) =
+    OutgoingRequest("GET", path, encodeTargetCall(target.address, target.id), ByteArray(0))
+
+/** Whether a response with [status] and [headers] to a check comes from this target, whether or not it is healthy. */
+fun TargetEntry.answersAs(status: Int, headers: HttpHeaders): Boolean =
+    status != MISDIRECTED_STATUS && (headers.get(ANSWERING_TARGET) ?: id) == id
+
 /** Returns how to recognise the response to the request [id]. */
 fun responseIdOf(id: String?): ResponseId? = id?.let { ResponseId(REQUEST_ID, it) }
 
--- a/src/main/kotlin/quarantine/Quarantine.kt
+++ b/src/main/kotlin/quarantine/Quarantine.kt
@@ -2,7 +2,8 @@
  * Detects requests that crash their targets. A request is identified by a fingerprint of its content, since callers
  * retry it under a new key. Each death of a target counts once for each request that ran there, however many hosts
  * report it. A request with one death is a suspect. A target runs one suspect at a time, so a second death identifies a
- * single request. The first success clears a suspect.
+ * single request. The first success clears a suspect. Requests that are not alike may share the part that crashes
+ * targets: see [PartQuarantine].
  */
 package org.sesamerouter.quarantine
 
@@ -14,9 +15,24 @@
 const val DEATHS_TO_QUARANTINE = 2
 private const val FINGERPRINT_BYTES = 16
 
-/** A target died while it ran the request with [fingerprint]; sent to the other hosts. */
+/** Number of deaths after which a request is quarantined where targets run several suspects at a time. */
+const val DEATHS_TO_QUARANTINE_SHARED = 3
+
+/**
+ * A target died while it ran the request with [fingerprint]; sent to the other hosts.
+ *
+ * @property parts the parts of the prompt that may be the cause, in order, without the last one; empty if the response
+ *   had not just begun.
+ * @property isFresh whether no event of the response had come.
+ */
 @Serializable
-data class DeathNotice(val fingerprint: String, val target: String, val targetIncarnation: String)
+data class DeathNotice(
+    val fingerprint: String,
+    val target: String,
+    val targetIncarnation: String,
+    val parts: List<String> = emptyList(),
+    val isFresh: Boolean = false,
+)
 
 /** The quarantine state of a request. */
 enum class QuarantineState { CLEAR, SUSPECT, QUARANTINED }
@@ -35,19 +51,24 @@
 ) {
     private val suspects = LinkedHashMap<String, Suspect>()
 
+    /** The parts of prompts that are suspected or held back. */
+    val parts = PartQuarantine(capacity)
+
     private class Suspect(var lastDeathMs: Long) {
         val deaths = HashSet<String>()
     }
 
     val size: Int get() = suspects.size
 
-    /** Records [notice]; returns whether it was new. */
-    fun onDeath(notice: DeathNotice, now: Long): Boolean {
+    /** Records [notice], of a request of this host if [isOwn]; returns whether it was new. */
+    fun onDeath(notice: DeathNotice, now: Long, isOwn: Boolean = false): Boolean {
         expire(now)
+        val incarnation = "${notice.target}@${notice.targetIncarnation}"
+        val isNewForParts = parts.onCrash(notice.parts, incarnation, notice.isFresh, isOwn, now)
         val known = suspects[notice.fingerprint]?.takeIf { now - it.lastDeathMs < expiryMs }
         val suspect = known ?: Suspect(now)
-        val isNew = suspect.deaths.add("${notice.target}@${notice.targetIncarnation}")
-        if (!isNew) return false
+        val isNew = suspect.deaths.add(incarnation)
+        if (!isNew) return isNewForParts
         suspect.lastDeathMs = now
         suspects.remove(notice.fingerprint)
         suspects[notice.fingerprint] = suspect
--- a/src/main/kotlin/serving/Flow.kt
+++ b/src/main/kotlin/serving/Flow.kt
@@ -37,6 +37,15 @@
     var isResponding = false
     var lastEventId = request.lastEventId
 
+    /** Set while a repeat waits until it is known whether the last target crashed. */
+    var waitingRepeat: WaitingRepeat? = null
+
+    /** The part that is held back and that this request tries again. */
+    var triedPart: String? = null
+
+    /** Whether the request is ready to be sent but has to wait whether a part of its prompt is held back. */
+    var isSendDeferred = false
+
     /** Whether the request is at no target and no part of a response was passed on. */
     val isUnsent: Boolean get() = currentSend == null && !isResponding
 
@@ -77,4 +86,7 @@
     var isPrefilled = false
     var firstEventMs: Long? = null
     var areInputsReported = false
+
+    /** Whether the target went on with the response after the time within which a prompt may crash it. */
+    var isPastBeginning = false
 }
--- a/src/main/kotlin/serving/FlowContext.kt
+++ b/src/main/kotlin/serving/FlowContext.kt
@@ -25,6 +25,12 @@
     /** Maximum number of connections from this host to one target of [service]. */
     fun maxConnectionsPerTarget(service: String): Int
 
+    /**
+     * Whether it is this host's turn to try [part] again, which is overdue by [overdueMs]; at most one host of a fleet
+     * has the turn at a time.
+     */
+    fun mayTryPart(part: String, overdueMs: Long): Boolean
+
     /** Expected time of a stage in [service] with its queue, for a request of [rank] that needs it done in [dueMs]. */
     fun expectedStageMs(service: String, rank: Int, dueMs: Long): Double
 
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -8,6 +8,8 @@
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.engine.PromptPart
 import org.sesamerouter.quarantine.DeathNotice
+import org.sesamerouter.quarantine.HeldPart
+import org.sesamerouter.quarantine.PartChange
 import org.sesamerouter.routing.ReportedLoad
 
 /**
@@ -45,8 +47,8 @@
 
 /** Why a send ended without a complete successful response. */
 sealed interface SendFailure {
-    /** The target could not be reached; no byte of the request left this host. */
-    data class NotSent(val cause: String) : SendFailure
+    /** The target could not be reached; no byte of the request left this host. [isRefused] if nothing listens there. */
+    data class NotSent(val cause: String, val isRefused: Boolean = true) : SendFailure
 
     /** This host did not try to reach the target. */
     data class NotAttempted(val cause: String) : SendFailure
@@ -57,8 +59,14 @@
     /** A complete error response was received and may be delivered. */
     data class FailedAnswer(val status: Int) : SendFailure
 
-    /** No response was received, and the request may have run. */
-    data class Lost(val cause: String) : SendFailure
+    /**
+     * No response was received, and the request may have run.
+     *
+     * @property mayBeCrash whether the target ended the connection, as it does when it crashes.
+     * @property mayHaveBegun whether the start of a response may have been lost with the connection.
+     */
+    data class Lost(val cause: String, val mayBeCrash: Boolean = false, val mayHaveBegun: Boolean = false) :
+        SendFailure
 
     /**
      * The response was interrupted.
@@ -66,8 +74,18 @@
      * @property isAtEvent whether only complete events were passed on, the last one with an id, so that another target
      *   can resume the stream.
      * @property lastEventId id of the last event passed on from this send; null when there was none.
+     * @property mayBeCrash whether the target ended the connection, as it does when it crashes.
+     * @property activeForMs time from the start of the response to the last of it that was passed on.
+     * @property hasEvents whether any of the body was passed on.
      */
-    data class Broken(val isAtEvent: Boolean, val lastEventId: String?, val cause: String) : SendFailure
+    data class Broken(
+        val isAtEvent: Boolean,
+        val lastEventId: String?,
+        val cause: String,
+        val mayBeCrash: Boolean = false,
+        val activeForMs: Long = 0,
+        val hasEvents: Boolean = true,
+    ) : SendFailure
 }
 
 /** Input of [RequestFlows]. */
@@ -79,8 +97,20 @@
     /** The head of the response was passed on. */
     data class ResponseStarted(val send: SendId, val load: ReportedLoad?) : FlowEvent
 
-    /** The complete response was passed on; [end] tells for the log how its end was marked. */
-    data class ResponseCompleted(val send: SendId, val status: Int, val end: String = "") : FlowEvent
+    /** The target goes on with the response after the time within which a prompt may crash it. */
+    data class ResponsePastBeginning(val send: SendId) : FlowEvent
+
+    /**
+     * The complete response was passed on; [end] tells for the log how its end was marked.
+     *
+     * @property isEndCertain false if a crash of the target between two events looks the same.
+     */
+    data class ResponseCompleted(
+        val send: SendId,
+        val status: Int,
+        val end: String = "",
+        val isEndCertain: Boolean = true,
+    ) : FlowEvent
 
     data class SendFailed(val send: SendId, val failure: SendFailure, val load: ReportedLoad? = null) : FlowEvent
 
@@ -89,6 +119,9 @@
 
     data class CallerDisconnected(val flow: Long) : FlowEvent
 
+    /** The check that [FlowEffect.CheckTarget] asked for has ended. */
+    data class TargetChecked(val target: TargetEntry, val verdict: TargetVerdict) : FlowEvent
+
     /** A target process ended without draining first. */
     data class TargetDied(val target: String, val startTimeMs: Long) : FlowEvent
 
@@ -98,6 +131,18 @@
     data object Tick : FlowEvent
 }
 
+/** What a check found out about a target that lost a response. */
+enum class TargetVerdict {
+    /** The incarnation answers. */
+    RUNS,
+
+    /** Nothing listens at its address, or another incarnation does, and it had not announced that it would leave. */
+    CRASHED,
+
+    /** It cannot be told: no answer in time, or the target was leaving. */
+    UNKNOWN,
+}
+
 /** Why a request was rejected. */
 enum class RejectReason {
     NO_TARGET,
@@ -146,6 +191,8 @@
      *
      * @property retryAfterMs time after which the caller may retry; only set when the request did not run.
      * @property stageMs expected time of each stage at the time of the decision.
+     * @property heldPart the part of the prompt that is held back, if that is the reason.
+     * @property crashes incarnations of targets that crashed on that part.
      */
     data class Reject(
         val flow: Long,
@@ -153,6 +200,8 @@
         val retryAfterMs: Long?,
         val reason: RejectReason,
         val stageMs: List<Long> = emptyList(),
+        val heldPart: String? = null,
+        val crashes: List<String> = emptyList(),
     ) : FlowEffect
 
     /** Ends the request with the buffered error response of a target. */
@@ -164,6 +213,16 @@
     /** Reports to the other hosts that a target died while it ran a request, whether or not that was the cause. */
     data class BroadcastDeath(val notice: DeathNotice) : FlowEffect
 
+    /** Finds out whether [target], which lost a response, still runs. */
+    data class CheckTarget(val target: TargetEntry) : FlowEffect
+
+    /**
+     * Tells the other hosts and the log of a [change] of what this host believes about a part of prompts.
+     *
+     * @property held the part as the other hosts need it, if it is held back.
+     */
+    data class QuarantineChanged(val change: PartChange, val held: HeldPart?) : FlowEffect
+
     /**
      * Records that a target ended a response before its end, for the log.
      *
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -6,11 +6,11 @@
 
 import org.sesamerouter.batching.JobFailure
 import org.sesamerouter.batching.JobOutcome
+import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.engine.EngineTable
+import org.sesamerouter.engine.Prompt
 import org.sesamerouter.pipeline.RetryBudget
-import org.sesamerouter.quarantine.CrashAttribution
 import org.sesamerouter.quarantine.Quarantine
-import org.sesamerouter.quarantine.QuarantineState
 import org.sesamerouter.routing.ServiceTargets
 
 private const val MAX_SENDS = 5
@@ -32,7 +32,7 @@
     private val context: FlowContext,
     private val engines: EngineTable,
     private val serviceTargets: ServiceTargets,
-    private val quarantine: Quarantine,
+    quarantine: Quarantine,
     private val dataCentre: String,
     private val newRetryBudget: () -> RetryBudget,
 ) {
@@ -44,7 +44,7 @@
     private val stageJobs = StageJobFactory(context, engines, latency)
     private val firstAttempts = FirstAttemptEstimator()
     private val shutdown = ShutdownPolicy(context, latency)
-    private val crashAttribution = CrashAttribution()
+    private val crashGuard = CrashGuard(quarantine, context)
     private val deferred = DeferredQueue(MAX_DEFERRED)
     private val startedDeferred = HashSet<Long>()
     private var jobSequence = 0L
@@ -62,14 +62,17 @@
             is FlowEvent.Arrived -> onArrived(event.request, now)
             is FlowEvent.StageEnded -> onStageEnded(event, now)
             is FlowEvent.ResponseStarted -> onResponseStarted(event, now)
+            is FlowEvent.ResponsePastBeginning -> findSend(event.send)?.let { (_, send) -> send.isPastBeginning = true }
             is FlowEvent.ResponseCompleted -> onResponseCompleted(event, now)
             is FlowEvent.SendFailed -> onSendFailed(event, now)
             is FlowEvent.SendSilent -> onSendSilent(event.send, now)
             is FlowEvent.CallerDisconnected -> flows[event.flow]?.let { cancelFlow(it, "caller left") }
-            is FlowEvent.TargetDied -> onTargetDown(event.target, event.startTimeMs, now)
+            is FlowEvent.TargetChecked -> onTargetChecked(event, now)
+            is FlowEvent.TargetDied -> crashGuard.onTargetDown(event.target, event.startTimeMs, now)
             is FlowEvent.ShutdownStarted -> onShutdownStarted(event, now)
             FlowEvent.Tick -> onTick(now)
         }
+        effects += crashGuard.takeEffects(now)
         return takeEffects()
     }
 
@@ -87,9 +90,8 @@
             return
         }
         retryBudget(request.service).deposit()
-        if (quarantine.stateOf(request.fingerprint, now) == QuarantineState.QUARANTINED) {
-            reject(flow, RejectReason.QUARANTINED, quarantine.remainingMs(request.fingerprint, now))
-        } else if (request.deadlineMs - now < MIN_SEND_MS) {
+        if (rejectQuarantined(flow, crashGuard.permit(flow, now))) return
+        if (request.deadlineMs - now < MIN_SEND_MS) {
             fail(flow, RejectReason.DEADLINE)
         } else if (context.targets(request.service).isEmpty()) {
             fail(flow, RejectReason.NO_TARGET)
@@ -100,6 +102,21 @@
         }
     }
 
+    /** Rejects a request that a target may not see, by [permit]; returns whether it did. */
+    private fun rejectQuarantined(flow: Flow, permit: SendPermit): Boolean {
+        when {
+            permit is SendPermit.Granted || permit is SendPermit.Deferred -> return false
+
+            flow.mayHaveRun || flow.isResponding -> fail(flow, RejectReason.QUARANTINED)
+
+            permit is SendPermit.HeldBack ->
+                reject(flow, RejectReason.QUARANTINED, permit.leftMs, permit.part, permit.crashes)
+
+            permit is SendPermit.Quarantined -> reject(flow, RejectReason.QUARANTINED, permit.leftMs)
+        }
+        return true
+    }
+
     /** Defers a request until the pools have spare capacity, or rejects it when their backlog is too long. */
     private fun defer(flow: Flow, now: Long) {
         val request = flow.request
@@ -193,14 +210,13 @@
             fail(flow, if (leftMs < MIN_SEND_MS) RejectReason.DEADLINE else RejectReason.STOPPING)
             return
         }
-        val candidates = context.targets(request.service)
+        val permit = crashGuard.permit(flow, now)
+        if (rejectQuarantined(flow, permit)) return
+        flow.isSendDeferred = permit is SendPermit.Deferred
+        if (flow.isSendDeferred) return
         val prompt = stageJobs.promptOf(flow)
         val isEngine = stageJobs.isEngine(request.service)
-        val target = if (isEngine) {
-            engines.choose(candidates.filter { it.id !in flow.triedTargets }.ifEmpty { candidates }, prompt, now)
-        } else {
-            serviceTargets.choose(candidates, flow.triedTargets, dataCentre, now)
-        }
+        val target = chooseTarget(flow, prompt, isEngine, now)
         if (target == null) {
             fail(flow, RejectReason.NO_TARGET)
             return
@@ -222,6 +238,14 @@
         )
     }
 
+    private fun chooseTarget(flow: Flow, prompt: Prompt, isEngine: Boolean, now: Long): TargetEntry? {
+        val candidates = context.targets(flow.request.service)
+        if (!isEngine) return serviceTargets.choose(candidates, flow.triedTargets, dataCentre, now)
+        val untried = candidates.filter { it.id !in flow.triedTargets }.ifEmpty { candidates }
+        if (flow.triedPart != null) return engines.leastBusy(untried, now)
+        return engines.choose(untried, prompt, now)
+    }
+
     private fun cacheTokens(service: String) =
         context.config?.services?.get(service)?.engine?.cacheTokens ?: Long.MAX_VALUE
 
@@ -255,7 +279,7 @@
         endSend(flow, attempt)
         attempt.firstEventMs?.let { latency.onResponseEnd(flow.request.service, now - it) }
         serviceTargets.onResponse(attempt.target, now - attempt.sentMs, failed = false, now)
-        quarantine.onSuccess(flow.request.fingerprint, now)
+        crashGuard.onCompleted(flow, attempt, event.isEndCertain, now)
         end(flow, listOf("answered ${event.status}", event.end).filter { it.isNotEmpty() }.joinToString(": "))
     }
 
@@ -265,7 +289,7 @@
         endSend(flow, attempt)
         when (val failure = event.failure) {
             is SendFailure.NotSent -> {
-                onTargetDown(attempt.target.id, attempt.target.startTimeMs, now)
+                if (failure.isRefused) onTargetCrashed(attempt.target, now)
                 onTargetFailure(attempt, isDown = true, now)
                 resend(flow, RejectReason.TARGETS_REFUSED, now)
             }
@@ -293,9 +317,9 @@
             is SendFailure.Lost -> {
                 flow.mayHaveRun = true
                 flow.runs++
-                recordLoss(flow, attempt, now)
-                onTargetFailure(attempt, isDown = false, now)
-                rerun(flow, now)
+                val point = if (failure.mayHaveBegun) LossPoint.BEGINNING else LossPoint.OTHER
+                onLoss(flow, attempt, failure.mayBeCrash, point, now)
+                if (flow.waitingRepeat == null) rerun(flow, now)
             }
 
             is SendFailure.Broken -> onResponseBroken(flow, attempt, failure, now)
@@ -309,26 +333,43 @@
         if (mayRunAgain && retryBudget(flow.request.service).canWithdraw) effects += FlowEffect.GiveUpSend(send)
     }
 
-    private fun recordLoss(flow: Flow, attempt: SendAttempt, now: Long) {
-        crashAttribution.onRequestLost(
-            flow.request.fingerprint,
-            attempt.target.id,
-            attempt.target.startTimeMs.toString(),
-            now,
-        )
-        effects += FlowEffect.ResponseLost(
-            attempt.id,
-            attempt.target,
-            flow.request.sharedParts,
-            now - attempt.sentMs,
-            attempt.firstEventMs?.let { now - it },
-        )
+    /** Records a lost response; a request that may be what crashed its target waits before it may be repeated. */
+    private fun onLoss(flow: Flow, attempt: SendAttempt, mayBeCrash: Boolean, point: LossPoint, now: Long) {
+        crashGuard.onLost(flow, attempt, point, now)
+        onTargetFailure(attempt, isDown = false, now)
+        if (!mayBeCrash) return
+        effects += FlowEffect.CheckTarget(attempt.target)
+        val hasSharedParts = flow.request.sharedParts.isNotEmpty()
+        if (hasSharedParts && mayRerun(flow, now)) flow.waitingRepeat = WaitingRepeat(attempt.target, now, point)
+    }
+
+    private fun onTargetChecked(event: FlowEvent.TargetChecked, now: Long) {
+        val target = event.target
+        if (event.verdict == TargetVerdict.CRASHED) {
+            onTargetCrashed(target, now)
+            serviceTargets.onFailure(target, isDown = true, now)
+            engines.onFailure(target.id, isDown = true, now)
+        }
+        for (flow in flows.values.toList()) {
+            val repeat = flow.waitingRepeat ?: continue
+            if (repeat.target.id == target.id && repeat.target.startTimeMs == target.startTimeMs) {
+                repeat.verdict = event.verdict
+                continueRepeat(flow, now)
+            }
+        }
     }
 
-    private fun onTargetDown(target: String, startTimeMs: Long, now: Long) {
-        for (notice in crashAttribution.onTargetDown(target, startTimeMs.toString(), now)) {
-            if (quarantine.onDeath(notice, now)) effects += FlowEffect.BroadcastDeath(notice)
-        }
+    private fun onTargetCrashed(target: TargetEntry, now: Long) {
+        crashGuard.onTargetDown(target.id, target.startTimeMs, now)
+        crashGuard.onTargetSilent(flows.values, target.id, target.startTimeMs, now)
+    }
+
+    private fun continueRepeat(flow: Flow, now: Long) {
+        val repeat = flow.waitingRepeat ?: return
+        val decision = crashGuard.decideRepeat(flow, repeat, now)
+        if (decision == RepeatDecision.WAIT) return
+        flow.waitingRepeat = null
+        if (decision == RepeatDecision.REPEAT) rerun(flow, now) else fail(flow, RejectReason.QUARANTINED)
     }
 
     private fun onTargetFailure(attempt: SendAttempt, isDown: Boolean, now: Long) {
@@ -339,18 +380,26 @@
     private fun onResponseBroken(flow: Flow, attempt: SendAttempt, failure: SendFailure.Broken, now: Long) {
         flow.mayHaveRun = true
         flow.runs++
-        recordLoss(flow, attempt, now)
-        onTargetFailure(attempt, isDown = false, now)
+        val point = when {
+            !failure.hasEvents -> LossPoint.BEFORE_FIRST_EVENT
+            failure.activeForMs < BEGINNING_MS && !attempt.isPastBeginning -> LossPoint.BEGINNING
+            else -> LossPoint.OTHER
+        }
+        onLoss(flow, attempt, failure.mayBeCrash, point, now)
         val mayResume = flow.request.route.isResumable && failure.isAtEvent && mayRerun(flow, now)
-        if (mayResume && retryBudget(flow.request.service).tryWithdraw()) {
-            flow.lastEventId = failure.lastEventId ?: flow.lastEventId
-            flow.isResponding = true
-            discardResults(flow)
-            rerunStages(flow, now)
-        } else {
-            effects += FlowEffect.AbortResponse(flow.request.flow)
-            end(flow, "cut: ${failure.cause}")
+        if (!mayResume) {
+            flow.waitingRepeat = null
+            abort(flow, failure.cause)
+            return
         }
+        flow.lastEventId = failure.lastEventId ?: flow.lastEventId
+        flow.isResponding = true
+        if (flow.waitingRepeat == null) rerun(flow, now)
+    }
+
+    private fun abort(flow: Flow, cause: String) {
+        effects += FlowEffect.AbortResponse(flow.request.flow)
+        end(flow, "cut: $cause")
     }
 
     /** Sends a request that has not run yet again, if its retry budget and deadline allow. */
@@ -366,6 +415,7 @@
 
     private fun rerun(flow: Flow, now: Long) {
         if (mayRerun(flow, now) && retryBudget(flow.request.service).tryWithdraw()) {
+            if (flow.isResponding) discardResults(flow)
             if (flow.request.route.stages.isEmpty()) send(flow, now) else rerunStages(flow, now)
         } else {
             fail(flow, RejectReason.OUTCOME_UNKNOWN)
@@ -378,6 +428,10 @@
         deferred.takeExpired(now).forEach(::rejectDeferred)
         startDeferred(now)
         rejectHopeless(now)
+        crashGuard.onTick(flows.values)
+        flows.values.filter { it.waitingRepeat != null }.forEach { continueRepeat(it, now) }
+        flows.values.filter { it.isSendDeferred || (it.isUnsent && it.waitingRepeat == null) }
+            .forEach { applyQuarantine(it, now) }
         flows.values.forEach { reportInputsFetched(it, now) }
         flows.values.filter { it.request.deadlineMs <= now }.forEach { flow ->
             if (flow.currentSend != null) flow.mayHaveRun = true
@@ -400,6 +454,11 @@
         }
     }
 
+    /** Rejects an unsent request whose prompt is held back by now, or sends one that waited for that to be decided. */
+    private fun applyQuarantine(flow: Flow, now: Long) {
+        if (flow.isSendDeferred) send(flow, now) else rejectQuarantined(flow, crashGuard.permit(flow, now))
+    }
+
     /** Rejects the requests that cannot be completed before this host ends, so that other hosts can serve them. */
     private fun rejectHopeless(now: Long) {
         flows.values.filter {
@@ -433,10 +492,7 @@
     private fun fail(flow: Flow, reason: RejectReason) {
         val id = flow.request.flow
         when {
-            flow.isResponding -> {
-                effects += FlowEffect.AbortResponse(id)
-                end(flow, "cut: $reason")
-            }
+            flow.isResponding -> abort(flow, "$reason")
 
             flow.hasBufferedFailure -> {
                 effects += FlowEffect.DeliverFailure(id)
@@ -464,8 +520,16 @@
         return pauseLeftMs ?: latency.retryAfterMs(flow)
     }
 
-    private fun reject(flow: Flow, reason: RejectReason, retryAfterMs: Long) {
-        effects += FlowEffect.Reject(flow.request.flow, NOT_RUN_STATUS, retryAfterMs, reason, latency.stagesMs(flow))
+    private fun reject(
+        flow: Flow,
+        reason: RejectReason,
+        retryAfterMs: Long,
+        heldPart: String? = null,
+        crashes: List<String> = emptyList(),
+    ) {
+        val stagesMs = latency.stagesMs(flow)
+        effects +=
+            FlowEffect.Reject(flow.request.flow, NOT_RUN_STATUS, retryAfterMs, reason, stagesMs, heldPart, crashes)
         end(flow, "rejected: $reason")
     }
 
--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import jdk.net.ExtendedSocketOptions
 import org.sesamerouter.clock.Clock
+import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 
 private const val CONNECT_TIMEOUT_MS = 700 // a healthy target accepts within a few ms
@@ -63,11 +65,7 @@
 }
 
 /** Why a call ended without a complete response: [reason] in short, [cause] in words. */
-data class CallFailure(
-    val progress: CallProgress,
-    val cause: String,
-    val reason: BreakReason = if (progress == CallProgress.UNREACHABLE) BreakReason.CLOSED else BreakReason.LOCAL,
-)
+data class CallFailure(val progress: CallProgress, val cause: String, val reason: BreakReason = BreakReason.LOCAL)
 
 /** Receives a response, on the event loop. */
 interface ResponseListener {
@@ -183,13 +181,21 @@
 
                 else -> {
                     pool.open--
-                    val cause = connecting.cause().message.orEmpty()
-                    if (!call.isCancelled) listener.onFailed(CallFailure(CallProgress.UNREACHABLE, cause))
+                    if (!call.isCancelled) listener.onFailed(unreachable(connecting.cause()))
                 }
             }
         }
     }
 
+    private fun unreachable(cause: Throwable): CallFailure {
+        val reason = when (cause) {
+            is ConnectTimeoutException -> BreakReason.SILENT
+            is ConnectException -> BreakReason.REFUSED
+            else -> BreakReason.LOCAL
+        }
+        return CallFailure(CallProgress.UNREACHABLE, cause.message.orEmpty(), reason)
+    }
+
     private fun connectionOf(channel: Channel) = channel.pipeline().get(ForwardConnection::class.java)
 
     internal fun returnToPool(connection: ForwardConnection) {
--- a/src/main/kotlin/web/ResponseEnd.kt
+++ b/src/main/kotlin/web/ResponseEnd.kt
@@ -27,6 +27,9 @@
     /** The target closed the connection. */
     CLOSED,
 
+    /** Nothing listens at the target's address. */
+    REFUSED,
+
     /** The connection was reset, or the request could not be written. */
     RESET,
 
--- a/src/test/kotlin/serving/FlowModels.kt
+++ b/src/test/kotlin/serving/FlowModels.kt
@@ -70,6 +70,8 @@
 
     override fun maxConnectionsPerTarget(service: String) = 8
 
+    override fun mayTryPart(part: String, overdueMs: Long) = true
+
     override fun expectedStageMs(service: String, rank: Int, dueMs: Long) = 300.0 + queueMs
 
     override fun unloadedStageMs(service: String) = 300.0
