Keep the table of suspected parts within its bound

Callers saw nothing yet: a crash adds up to 16 parts and only one was evicted, so that the table grew to 5,050 entries with a bound of 100 in PartQuarantineSpec, which failed before. Parts are evicted until the bound is kept.

--- a/src/main/kotlin/quarantine/PartQuarantine.kt
+++ b/src/main/kotlin/quarantine/PartQuarantine.kt
@@ -138,7 +138,7 @@
             if (isOwn) suspect.hasOwnEvidence = true
             isNew = addCrash(suspect, incarnation, weight, isOwn, now) || isNew
         }
-        if (suspects.size > capacity) evict()
+        while (suspects.size > capacity) evict()
         return isNew
     }
 
@@ -311,6 +311,6 @@
         suspect.lastCrashMs = now
         suspect.hasOwnEvidence = false
         holdBack(suspect, now, nextTrialMs)
-        if (suspects.size > capacity) evict()
+        while (suspects.size > capacity) evict()
     }
 }
--- a/src/test/kotlin/front/Site.kt
+++ b/src/test/kotlin/front/Site.kt
@@ -119,10 +119,11 @@
         id: String,
         key: String = "k1",
         pieces: Int = 0,
+        parts: String = "ab:10,cd:5",
     ): CompletableFuture<CollectedResponse> {
         val headers = DefaultHttpHeaders().set("Host", "shop.example").set("Request-Id", id)
             .set("Deadline-Ms", "8000").set("Authorization", "Bearer $key").set("Tenant", "forged")
-            .set("Pieces", "$pieces").set("Piece-Key", "key of $id").set("Prefix-Hash", "ab:10,cd:5")
+            .set("Pieces", "$pieces").set("Piece-Key", "key of $id").set("Prefix-Hash", parts)
         return send(settings[host].requestAddress, "POST", path, headers, "body of $id")
     }
 
