Free a part on hosts that missed that it was cleared

Cause: that a part is cleared is told once, that it is held back is repeated. A host now keeps the crashes that a part was cleared of, does not follow an announcement that names no other one, and tells the sender. A host without evidence of its own waits 1 s for the announcement of one that has, instead of deciding after 0.3 s; whoever decides, announces.

--- a/src/main/kotlin/quarantine/PartQuarantine.kt
+++ b/src/main/kotlin/quarantine/PartQuarantine.kt
@@ -19,9 +19,11 @@
  */
 const val CRASHES_TO_HOLD_PART = 3
 
-/** Time after the last of these crashes in which other hosts may clear the part; its requests wait that long. */
+/** Time after these crashes in which other hosts may clear the part; its requests wait that long. */
 const val PART_SETTLE_MS = 300L
 
+private const val REMOTE_SETTLE_MS = 1_000L // a host with evidence of its own has told the others by then
+
 private const val FRESH_WEIGHT = 2
 private const val WEIGHT = 1
 private const val WEIGHT_TO_HOLD = CRASHES_TO_HOLD_PART * FRESH_WEIGHT
@@ -32,6 +34,7 @@
 private const val MAX_CRASHES = 1_024
 private const val MAX_REPORTED_CRASHES = 8
 private const val MAX_SNAPSHOT = 256
+private const val MAX_CLEARED = 1_024
 private const val FIRST_TRIAL_MS = 30_000L
 private const val MAX_TRIAL_INTERVAL_MS = 1_800_000L
 private const val TRIAL_MS = 10_000L // a trial that has not ended by then was never sent
@@ -102,10 +105,16 @@
         var nextTrialMs = 0L
     }
 
+    /** The crashes that a part was cleared of; [isOwn] if a response to this host did so. */
+    private class Cleared(val crashes: Set<String>, val isOwn: Boolean)
+
     private val suspects = LinkedHashMap<String, Suspect>()
 
     /** The part that is held back for the crash of an incarnation. */
     private val explained = LinkedHashMap<String, String>()
+
+    /** The crashes of which parts were cleared, for hosts that missed it. */
+    private val cleared = LinkedHashMap<String, Cleared>()
     private val changes = ArrayList<PartChange>()
 
     /** Number of parts that are suspected or held back. */
@@ -193,7 +202,7 @@
             return PartState.CLEAR
         }
         if (!suspect.hasEnoughCrashes()) return PartState.SUSPECT
-        if (now - suspect.enoughSinceMs < PART_SETTLE_MS) return PartState.PENDING
+        if (!suspect.isSettled(now)) return PartState.PENDING
         holdBackSettled(now)
         return when {
             suspect.heldSinceMs != null -> PartState.HELD_BACK
@@ -202,16 +211,19 @@
         }
     }
 
+    private fun Suspect.isSettled(now: Long) =
+        now - enoughSinceMs >= if (hasOwnEvidence) PART_SETTLE_MS else REMOTE_SETTLE_MS
+
     private fun Suspect.hasEnoughCrashes() = weight >= WEIGHT_TO_HOLD
 
     /** Holds back the parts that explain the most crashes, the later part of a prompt first. */
     private fun holdBackSettled(now: Long) {
         while (true) {
             val next = suspects.values
-                .filter { it.heldSinceMs == null && it.hasEnoughCrashes() && now - it.enoughSinceMs >= PART_SETTLE_MS }
+                .filter { it.heldSinceMs == null && it.hasEnoughCrashes() && it.isSettled(now) }
                 .sortedWith(compareBy({ -it.weight }, { -it.depth }, { it.part }))
                 .firstOrNull { weightOfItsOwn(it) >= WEIGHT_TO_HOLD } ?: return
-            holdBack(next, now, now + FIRST_TRIAL_MS)
+            holdBack(next, now, now + FIRST_TRIAL_MS, isOwn = true)
         }
     }
 
@@ -230,7 +242,7 @@
         }
     }
 
-    private fun holdBack(suspect: Suspect, now: Long, nextTrialMs: Long) {
+    private fun holdBack(suspect: Suspect, now: Long, nextTrialMs: Long, isOwn: Boolean) {
         suspect.heldSinceMs = now
         suspect.nextTrialMs = nextTrialMs
         suspect.crashes.forEach { explained[it] = suspect.part }
@@ -240,8 +252,7 @@
             other.weights.keys.removeAll(suspect.crashes)
             if (other.crashes.isEmpty()) suspects.remove(other.part)
         }
-        val crashes = suspect.crashes.toList()
-        changes += PartChange(PartChangeKind.HELD_BACK, suspect.part, crashes, suspect.hasOwnEvidence)
+        changes += PartChange(PartChangeKind.HELD_BACK, suspect.part, suspect.crashes.toList(), isOwn)
     }
 
     /** Number of crashes that count against the most suspected of [parts]; 0 if all are clear. */
@@ -268,10 +279,17 @@
         for (id in parts.map { it.take(MAX_ID_LENGTH) }) {
             val suspect = suspects.remove(id) ?: continue
             suspect.crashes.forEach(explained::remove)
+            recordCleared(id, suspect.crashes, isOwn)
             changes += PartChange(PartChangeKind.CLEARED, id, suspect.crashes.toList(), isOwn)
         }
     }
 
+    private fun recordCleared(id: String, crashes: Set<String>, isOwn: Boolean) {
+        val before = cleared.remove(id)
+        cleared[id] = Cleared(before?.crashes.orEmpty() + crashes, isOwn || before?.isOwn == true)
+        if (cleared.size > MAX_CLEARED) cleared.remove(cleared.keys.first())
+    }
+
     /** Time by which the trial of a part that is held back is overdue; negative before it is due. */
     fun trialOverdueMs(part: String, now: Long): Long =
         suspects[part.take(MAX_ID_LENGTH)]?.let { now - it.nextTrialMs } ?: 0
@@ -296,9 +314,14 @@
     /** Returns [part] for the other hosts if it is held back. */
     fun heldPart(part: String, now: Long): HeldPart? = heldParts(now).firstOrNull { it.part == part }
 
-    /** Handles that another host holds back [held]. */
+    /** Handles that another host holds back [held]; it is told if this host has cleared the part of the same crashes. */
     fun onHeld(held: HeldPart, now: Long) {
         val id = held.part.take(MAX_ID_LENGTH)
+        val known = cleared[id]
+        if (known != null && known.crashes.containsAll(held.crashes)) {
+            if (known.isOwn) changes += PartChange(PartChangeKind.CLEARED, id, held.crashes, isOwn = true)
+            return
+        }
         val suspect = suspects.getOrPut(id) { Suspect(id) }
         val nextTrialMs = now + held.nextTrialInMs.coerceIn(0, MAX_TRIAL_INTERVAL_MS)
         suspect.depth = maxOf(suspect.depth, held.depth)
@@ -309,8 +332,7 @@
             return
         }
         suspect.lastCrashMs = now
-        suspect.hasOwnEvidence = false
-        holdBack(suspect, now, nextTrialMs)
+        holdBack(suspect, now, nextTrialMs, isOwn = false)
         while (suspects.size > capacity) evict()
     }
 }
--- a/src/test/kotlin/serving/CrashFleet.kt
+++ b/src/test/kotlin/serving/CrashFleet.kt
@@ -36,6 +36,7 @@
  * @property shared number of parts of a sound prompt before the last one.
  * @property messageLoss share of the messages between hosts that are lost.
  * @property quietAtMs when the crashing requests end.
+ * @property healedAtMs from when on the part crashes no engine any more.
  */
 internal data class CrashSpec(
     val seed: Long,
@@ -50,6 +51,7 @@
     val isResumable: Boolean = true,
     val badFromMs: Long = 4_000,
     val quietAtMs: Long = 70_000,
+    val healedAtMs: Long = Long.MAX_VALUE,
 )
 
 internal class CrashFleet(private val spec: CrashSpec) {
@@ -104,10 +106,19 @@
     private inner class ModelHost(val index: Int) {
         val context = Context()
         val table = EngineTable()
-        val quarantine = Quarantine(60_000, 4_096, 3)
+        var quarantine = newQuarantine()
         var flows = newFlows()
         val name = "h$index"
 
+        fun newQuarantine() = Quarantine(60_000, 4_096, 3)
+
+        /** Starts the host anew; it gets the state of [from], as a starting host does. */
+        fun restart(from: ModelHost) {
+            quarantine = newQuarantine()
+            flows = newFlows()
+            from.quarantine.parts.heldParts(now).forEach { quarantine.parts.onHeld(it, now) }
+        }
+
         fun newFlows() = RequestFlows(context, table, ServiceTargets(), quarantine, "a") { RetryBudget(0.2, 4.0) }
 
         fun setTargets(entries: List<TargetEntry>) {
@@ -185,6 +196,15 @@
         after(ms) { cutOff -= index }
     }
 
+    /** Restarts the host [index]; its requests are lost. */
+    fun restart(index: Int) = hosts[index].restart(from = hosts[(index + 1) % hosts.size])
+
+    /** Share of the requests with a part that crashed engines, arrived from [fromMs] on, whose answer began. */
+    fun healedShare(fromMs: Long): Double {
+        val of = requests.values.filter { it.bad != null && it.atMs >= fromMs && it.atMs < now - STABLE_WINDOW_MS }
+        return of.count { it.hasBegun }.toDouble() / of.size
+    }
+
     /** The most requests with one crashing part that reached engines later than the window after its fifth crash. */
     fun lateArrivals(): Int = badArrivals.entries.maxOfOrNull { (part, times) ->
         val fifth = crashTimes[part].orEmpty().getOrNull(CRASHES_ALLOWED - 1) ?: return@maxOfOrNull 0
@@ -201,6 +221,9 @@
     fun soundHeldBack(fromMs: Long = 0): Int =
         sound.count { it.atMs >= fromMs && it.rejected == RejectReason.QUARANTINED }
 
+    /** Number of hosts that hold a part back. */
+    fun hostsHoldingBack(): Int = hosts.count { it.quarantine.parts.heldBack > 0 }
+
     private fun startEngine() {
         val id = "e${engineNumber++}"
         val entry = TargetEntry(id, SERVICE, "10.0.0.$engineNumber:80", "a", 64, false, now)
@@ -317,7 +340,7 @@
             running.host.handle(FlowEvent.ResponseStarted(running.send, null))
         }
         val bad = running.request.bad
-        if (bad != null) {
+        if (bad != null && now < spec.healedAtMs) {
             after(random.nextLong(4, 20)) {
                 if (engine.isUp) {
                     crashTimes.getOrPut(bad) { ArrayList() } += now
