--- a/src/main/kotlin/quarantine/PartQuarantine.kt
+++ b/src/main/kotlin/quarantine/PartQuarantine.kt
@@ -314,7 +314,7 @@
     /** Returns [part] for the other hosts if it is held back. */
     fun heldPart(part: String, now: Long): HeldPart? = heldParts(now).firstOrNull { it.part == part }
 
-    /** Handles that another host holds back [held]; it is told if this host has cleared the part of the same crashes. */
+    /** Handles that another host holds back [held], and tells it if the part was cleared of the same crashes here. */
     fun onHeld(held: HeldPart, now: Long) {
         val id = held.part.take(MAX_ID_LENGTH)
         val known = cleared[id]
--- a/src/test/kotlin/front/PlatformStandin.kt
+++ b/src/test/kotlin/front/PlatformStandin.kt
@@ -16,6 +16,7 @@
 import org.sesamerouter.clock.systemClock
 import org.sesamerouter.web.IncomingRequest
 import org.sesamerouter.web.RequestLimits
+import org.sesamerouter.web.RequestServer
 import org.sesamerouter.web.startRequestServer
 import java.io.ByteArrayOutputStream
 import java.io.DataOutputStream
@@ -44,8 +45,12 @@
     /** Headers of the requests that reached a target. */
     val receivedRequests = ConcurrentLinkedQueue<Map<String, String>>()
 
-    fun listen(handler: (IncomingRequest) -> Unit): String = freeAddress().also {
-        startRequestServer(it, eventLoopGroup, clock, { RequestLimits() }, handler = handler)
+    fun listen(handler: (IncomingRequest) -> Unit): String = serve(handler).first
+
+    /** Starts a server that can be closed; returns it with its address. */
+    fun serve(handler: (IncomingRequest) -> Unit): Pair<String, RequestServer> {
+        val address = freeAddress()
+        return address to startRequestServer(address, eventLoopGroup, clock, { RequestLimits() }, handler = handler)
     }
 
     fun storeAddress(): String = listen(store::onRequest)
--- a/src/test/kotlin/soak/CallerConnection.kt
+++ b/src/test/kotlin/soak/CallerConnection.kt
@@ -75,6 +75,7 @@
     }
 
     private fun encode(request: SoakRequest, key: String): ByteArray {
+        val middle = if (request.hasCrashingPart) CRASHING_PART else "ok"
         val head = listOf(
             "POST ${request.kind.pathPrefix}x HTTP/1.1",
             "Host: shop.example",
@@ -84,7 +85,7 @@
             "Pieces: ${request.pieces}",
             "Piece-Key: key of ${request.id}",
             "Token-Counts: 15,${request.steps}",
-            "Prefix-Hash: ab:10,${request.id.hashCode().toString(HEX).removePrefix("-")}:5",
+            "Prefix-Hash: ab:10,$middle:4,${request.id.hashCode().toString(HEX).removePrefix("-")}:5",
             "Content-Length: ${request.body.length}",
         )
         return (head.joinToString("\r\n", postfix = "\r\n\r\n") + request.body).toByteArray()
--- a/src/test/kotlin/soak/Soak.kt
+++ b/src/test/kotlin/soak/Soak.kt
@@ -40,7 +40,8 @@
             val statuses = requests.filter { it.ending == Ending.ANSWERED }.groupingBy { it.status }.eachCount()
             return "grace ${history.graceMs} ms, ${history.lives.size} lives, ${requests.size} requests $counts, " +
                 "statuses ${statuses.toSortedMap()}, ${history.inProgressAtStop} in progress at SIGTERM, " +
-                "${history.sentAfterStop} sent after it, ${history.lateEnds} late ends, findings ${findings.groupingBy {
+                "${history.sentAfterStop} sent after it, ${history.lateEnds} late ends, ${history.crashes} crashes, " +
+                "findings ${findings.groupingBy {
                     it.check
                 }.eachCount()}"
         }
--- a/src/test/kotlin/soak/SoakChecks.kt
+++ b/src/test/kotlin/soak/SoakChecks.kt
@@ -11,6 +11,9 @@
 
 // A host counts the time that a request may have waited for its busy event loop against the deadline.
 private const val DEADLINE_SLACK_MS = 500L
+private const val CRASHES_ALLOWED = 5
+private const val TRIALS_ALLOWED = 3
+private const val TOUCH_MS = 3_000L // in which hosts have to agree
 internal const val LOST_AT_STOP = "LOST at stop"
 internal const val LOST_WITHOUT_STOP = "LOST without stop"
 private const val SHOWN_CHARACTERS = 40
@@ -20,7 +23,7 @@
 /** Returns the broken promises of [history]. */
 internal fun checkHistory(history: SoakHistory): List<Finding> = with(HistoryIndex(history)) {
     lostAfterStop() + lostAtStop() + lostWithoutStop() + refusedButRun() + ranTwice() + mixedAnswers() +
-        shownAsWhole() + partsOfEvents() + mixedInputs() + denied() + badEnds() + unservedLives()
+        shownAsWhole() + partsOfEvents() + mixedInputs() + denied() + badEnds() + unservedLives() + crashesGoOn()
 }
 
 private class HistoryIndex(private val history: SoakHistory) {
@@ -48,7 +51,10 @@
     }
 
     /** Whether a target broke its response to the request off, so that the answer may have to end early. */
-    private fun isBrokenOff(record: CallerRecord) = runsOf(record).any { it.ending == RunEnding.BROKEN_OFF }
+    private fun isBrokenOff(record: CallerRecord) = runsOf(record).any {
+        it.ending == RunEnding.BROKEN_OFF ||
+            it.ending == RunEnding.CRASHED
+    }
 
     private fun describeRuns(record: CallerRecord) = runsOf(record).joinToString {
         "${it.ending} ${it.startedMs - record.startedMs}..${it.endedMs?.minus(record.startedMs)} ms"
@@ -157,6 +163,28 @@
         }
     }
 
+    /** Prompts with a crashing part are held back soon after the fifth crash by the hosts that were in touch. */
+    fun crashesGoOn(): List<Finding> {
+        val bad = history.runs.filter { it.hasCrashingPart }
+        val crashes = bad.filter { it.ending == RunEnding.CRASHED }.mapNotNull { it.endedMs }.sorted()
+        val fifthMs = crashes.getOrNull(CRASHES_ALLOWED - 1) ?: return emptyList()
+        val records = history.requests.associateBy { it.request.id }
+        val late = bad.filter { run ->
+            run.startedMs > fifthMs + TOUCH_MS &&
+                records[run.requestId]?.let { wasInTouch(lifeOf(it), run.startedMs) } == true
+        }
+        if (late.size <= TRIALS_ALLOWED) return emptyList()
+        val seen = "${late.size} requests reached engines, at ${late.map {
+            it.startedMs - fifthMs
+        }} ms after the fifth crash"
+        return listOf(Finding("BUDGET", "the crashing part", "$seen, ${crashes.size} in all"))
+    }
+
+    private fun wasInTouch(life: HostLife, atMs: Long): Boolean {
+        val before = Span(atMs - TOUCH_MS, atMs)
+        return (life.readyMs ?: Long.MAX_VALUE) <= before.fromMs && life.frozen.none(before::overlaps)
+    }
+
     fun unservedLives(): List<Finding> = history.lives.filter { it.isLast }.mapNotNull { life ->
         val subject = "host ${life.host} life ${life.number}"
         when {
--- a/src/test/kotlin/soak/SoakChecksSpec.kt
+++ b/src/test/kotlin/soak/SoakChecksSpec.kt
@@ -12,6 +12,7 @@
 private const val STOP_MS = 10_000L
 
 private val pipeline = SoakRequest("a", RequestKind.PIPELINE, deadlineMs = 8_000, steps = 3, stepMs = 100, pieces = 1)
+private val chat = SoakRequest("c", RequestKind.CHAT, deadlineMs = 8_000, steps = 3, stepMs = 100, pieces = 0)
 private val booking = SoakRequest("b", RequestKind.BOOK, deadlineMs = 8_000, steps = 1, stepMs = 500, pieces = 0)
 private val life = HostLife(
     host = 0,
@@ -97,6 +98,19 @@
             }
         }
 
+        test("prompts with a crashing part that reach engines long after the fifth crash are reported") {
+            fun bad(atMs: Long) =
+                TargetRun(chat.id, atMs, atMs + 70, RunEnding.CRASHED, emptyList(), hasCrashingPart = true)
+            val crashes = (0L until 5).map { bad(1_000 + 100 * it) }
+            val record = served(chat, 1_000).copy(ending = Ending.CUT)
+            fun checked(late: Int, atMs: Long) = checksOf(
+                history(record, *(crashes + List(late) { bad(atMs) }).toTypedArray()),
+            ).filter { it == "BUDGET" }
+            checked(late = 4, atMs = 6_000) shouldBe listOf("BUDGET")
+            checked(late = 3, atMs = 6_000).shouldBeEmpty()
+            checked(late = 4, atMs = 4_400).shouldBeEmpty()
+        }
+
         test("an unsafe request that ran twice is reported, and a safe one is not") {
             val run = finished(booking, 5_010)
             checksOf(history(served(booking, 5_000), run, run)) shouldBe listOf("TWICE")
--- a/src/test/kotlin/soak/SoakHistory.kt
+++ b/src/test/kotlin/soak/SoakHistory.kt
@@ -26,6 +26,7 @@
  * A request of a caller. Its target works in [steps] steps of [stepMs] each; each step of a stream yields an event.
  *
  * @property pieces the number of pieces of the stage that the request needs.
+ * @property hasCrashingPart whether engines crash when they begin to answer it.
  */
 internal data class SoakRequest(
     val id: String,
@@ -34,6 +35,7 @@
     val steps: Int,
     val stepMs: Long,
     val pieces: Int,
+    val hasCrashingPart: Boolean = false,
 ) {
     val body: String get() = "$steps,$stepMs"
 
@@ -100,12 +102,16 @@
 
     /** The target broke its response off. */
     BROKEN_OFF,
+
+    /** The target broke its response off since the request crashed it. */
+    CRASHED,
 }
 
 /**
  * A request as a target saw it, unless the target refused it.
  *
  * @property inputs the handles of the results that it was sent with.
+ * @property hasCrashingPart whether the target crashes when it begins to answer it.
  */
 internal data class TargetRun(
     val requestId: String,
@@ -113,6 +119,7 @@
     val endedMs: Long?,
     val ending: RunEnding,
     val inputs: List<String>,
+    val hasCrashingPart: Boolean = false,
 )
 
 /** A span of time. */
@@ -178,6 +185,9 @@
             stopOf(record)?.let { record.sentMs < it.fromMs && it.fromMs < record.endedMs } == true
         }
 
+    /** The number of engines that crashed. */
+    val crashes: Int get() = runs.count { it.ending == RunEnding.CRASHED }
+
     private fun stopOf(record: CallerRecord) = stops[record.host to record.life]
 }
 
--- a/src/test/kotlin/soak/SoakLoad.kt
+++ b/src/test/kotlin/soak/SoakLoad.kt
@@ -18,6 +18,8 @@
 private const val REFUSED_REST_MS = 200
 private const val MIN_DEADLINE_MS = 300L
 private const val MAX_PIECES = 3
+private const val CRASHING = 25 // one in so many streams has the part that crashes engines
+private const val MIX = 1_000_003L // a draw of its own, which does not disturb the others of a seed
 private const val END_TIMEOUT_MS = 20_000L
 
 /** How a caller uses its connections. */
@@ -136,6 +138,7 @@
                 steps = steps,
                 stepMs = totalMs / steps,
                 pieces = if (kind == RequestKind.PIPELINE) 1 + random.nextInt(MAX_PIECES) else 0,
+                hasCrashingPart = kind.isStream && Random(seed * callers + number + sent * MIX).nextInt(CRASHING) == 0,
             )
         }
     }
--- a/src/test/kotlin/soak/SoakTargets.kt
+++ b/src/test/kotlin/soak/SoakTargets.kt
@@ -1,6 +1,7 @@
 /*
  * The targets of a soak: they work for the steps that each request names, at times slower, and record what reached
- * them. Some responses have neither a length nor chunks, and some are broken off, also inside an event.
+ * them. Some responses have neither a length nor chunks, and some are broken off, also inside an event. Engines crash
+ * when they begin to answer a prompt with one particular part.
  */
 package org.sesamerouter.soak
 
@@ -11,6 +12,7 @@
 import org.sesamerouter.web.BodyFraming
 import org.sesamerouter.web.IncomingRequest
 import java.util.Random
+import java.util.concurrent.atomic.AtomicInteger
 
 private const val SLOW_SHARE = 0.08 // of the requests of a target
 private const val SLOW_FACTOR = 3
@@ -23,14 +25,23 @@
 private const val BROKEN_SHARE = 0.08
 private const val ORDERLY_BREAK_SHARE = 0.5 // of the streams that are broken off
 
+private const val BEGIN_MS = 60L
+private const val CRASH_MS = 10L
+private const val RESTART_MS = 2_500L
+private const val ENTRY_EXPIRY_MS = 3_600L
+
+/** The part of a prompt that crashes engines. */
+internal const val CRASHING_PART = "bad"
+
 /** The targets of one soak. */
 internal class SoakTargets(private val platform: PlatformStandin, private val clock: Clock, seed: Long) {
     private val random = Random(seed)
     private val runs = ArrayList<TargetRun>()
+    private val engineNumber = AtomicInteger()
 
     /** Registers [engines] engines, [desks] targets of plain requests and [stages] stage targets with the store. */
     fun start(engines: Int, desks: Int, stages: Int) {
-        repeat(engines) { register("m$it", "model", target()) }
+        repeat(engines) { Engine().start() }
         repeat(desks) { register("d$it", "desk", target()) }
         repeat(stages) { register("s$it", "stock", platform.stageTarget(::stageCallMs)) }
     }
@@ -58,19 +69,35 @@
     private fun randomInt(bound: Int): Int = synchronized(random) { random.nextInt(bound) }
 
     private fun target(): String {
-        var running = 0
-        return platform.listen { request ->
-            val id = request.headers.get("Request-Id")
-            when {
-                id == null -> request.reply(200, "{}".toByteArray())
+        val works = LinkedHashSet<Work>()
+        return platform.listen { accept(it, works) {} }
+    }
 
-                running >= SLOTS -> request.reply(503, headers = answerHeaders(id).set("Not-Run", "1"))
+    private fun accept(request: IncomingRequest, works: LinkedHashSet<Work>, crash: () -> Unit) {
+        val id = request.headers.get("Request-Id")
+        when {
+            id == null -> request.reply(200, "{}".toByteArray())
+            works.size >= SLOTS -> request.reply(503, headers = answerHeaders(id).set("Not-Run", "1"))
+            else -> Work(request, id, begin(id, request), works, crash).start()
+        }
+    }
 
-                else -> {
-                    running++
-                    Work(request, id, begin(id, request)) { running-- }.start()
-                }
-            }
+    /** An engine that crashes when it begins to answer a prompt with the crashing part, and starts again. */
+    private inner class Engine {
+        private val works = LinkedHashSet<Work>()
+        private val id = "m${engineNumber.getAndIncrement()}"
+        private val server = platform.serve { accept(it, works, ::crash) }
+        private var isUp = true
+
+        fun start() = register(id, "model", server.first)
+
+        private fun crash() {
+            if (!isUp) return
+            isUp = false
+            works.toList().forEach { it.crash() }
+            server.second.close()
+            platform.schedule(RESTART_MS) { Engine().start() }
+            platform.schedule(ENTRY_EXPIRY_MS) { platform.store.put("keyed.servers", id, "") }
         }
     }
 
@@ -78,16 +105,20 @@
 
     private fun begin(id: String, request: IncomingRequest): Int = synchronized(runs) {
         val inputs = request.headers.get("Inputs")?.split(',')?.map { it.trim() }.orEmpty()
-        runs += TargetRun(id, clock.nowMs(), endedMs = null, RunEnding.RUNNING, inputs)
+        runs += TargetRun(id, clock.nowMs(), endedMs = null, RunEnding.RUNNING, inputs, hasCrashingPart(request))
         runs.lastIndex
     }
 
+    private fun hasCrashingPart(request: IncomingRequest) =
+        "$CRASHING_PART:" in request.headers.get("Prefix-Hash").orEmpty()
+
     /** One run of a request at a target; used on the event loop of the stand-ins. */
     private inner class Work(
         private val request: IncomingRequest,
         private val id: String,
         private val run: Int,
-        private val release: () -> Unit,
+        private val works: MutableSet<Work>,
+        private val crashTarget: () -> Unit,
     ) {
         private val steps = request.body.decodeToString().substringBefore(',').toInt()
         private val stepMs = request.body.decodeToString().substringAfter(',').toLong() * slowness()
@@ -100,8 +131,30 @@
         private val breakingStep = if (chance(BROKEN_SHARE)) 1 + randomInt(steps) else null
 
         fun start() {
+            works += this
             request.onClosed = { end(RunEnding.DROPPED) }
-            platform.schedule(stepMs, ::step)
+            if (isStream && hasCrashingPart(request)) {
+                platform.schedule(BEGIN_MS, ::beginAndCrash)
+            } else {
+                platform.schedule(stepMs, ::step)
+            }
+        }
+
+        private fun beginAndCrash() {
+            if (isOver) return
+            startResponse("text/event-stream")
+            platform.schedule(CRASH_MS) {
+                if (isOver) return@schedule
+                end(RunEnding.CRASHED)
+                crashTarget()
+                request.abort()
+            }
+        }
+
+        /** Ends the request with its target. */
+        fun crash() {
+            end(RunEnding.BROKEN_OFF)
+            request.abort()
         }
 
         private fun step() {
@@ -157,7 +210,7 @@
         private fun end(ending: RunEnding) {
             if (isOver) return
             isOver = true
-            release()
+            works -= this
             synchronized(runs) { runs[run] = runs[run].copy(endedMs = clock.nowMs(), ending = ending) }
         }
     }
