--- a/src/test/kotlin/soak/SoakTargets.kt
+++ b/src/test/kotlin/soak/SoakTargets.kt
@@ -13,6 +13,7 @@
 import org.sesamerouter.web.IncomingRequest
 import java.util.Random
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 
 private const val SLOW_SHARE = 0.08 // of the requests of a target
 private const val SLOW_FACTOR = 3
@@ -96,7 +97,8 @@
             isUp = false
             works.toList().forEach { it.crash() }
             server.second.close()
-            platform.schedule(RESTART_MS) { Engine().start() }
+            // A server is not started on the event loop that it is to run on.
+            platform.schedule(RESTART_MS) { thread { Engine().start() } }
             platform.schedule(ENTRY_EXPIRY_MS) { platform.store.put("keyed.servers", id, "") }
         }
     }
