--- a/src/main/kotlin/serving/CrashGuard.kt
+++ b/src/main/kotlin/serving/CrashGuard.kt
@@ -136,14 +136,10 @@
         if (quarantine.onDeath(notice, now, isOwn = true)) effects += FlowEffect.BroadcastDeath(notice)
     }
 
-    /** Records a complete response; its end proves nothing if a crash looks the same ([isEndCertain] is false). */
-    fun onCompleted(flow: Flow, attempt: SendAttempt, isEndCertain: Boolean, now: Long) {
-        if (isEndCertain) {
-            quarantine.onSuccess(flow.request.fingerprint, now)
-            quarantine.parts.onSound(flow.request.sharedParts, isOwn = true)
-        } else if (attempt.firstEventMs != null) {
-            onLost(flow, attempt, if (attempt.isPastBeginning) LossPoint.OTHER else LossPoint.BEGINNING, now)
-        }
+    /** Records a complete response; its end clears no part if a crash looks the same ([isEndCertain] is false). */
+    fun onCompleted(flow: Flow, isEndCertain: Boolean, now: Long) {
+        quarantine.onSuccess(flow.request.fingerprint, now)
+        if (isEndCertain) quarantine.parts.onSound(flow.request.sharedParts, isOwn = true)
     }
 
     /** Clears the parts of responses that are past their beginning. */
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -279,7 +279,7 @@
         endSend(flow, attempt)
         attempt.firstEventMs?.let { latency.onResponseEnd(flow.request.service, now - it) }
         serviceTargets.onResponse(attempt.target, now - attempt.sentMs, failed = false, now)
-        crashGuard.onCompleted(flow, attempt, event.isEndCertain, now)
+        crashGuard.onCompleted(flow, event.isEndCertain, now)
         end(flow, listOf("answered ${event.status}", event.end).filter { it.isNotEmpty() }.joinToString(": "))
     }
 
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -302,6 +302,17 @@
             again.sends().shouldBeEmpty()
         }
 
+        // Responses without a frame counted as lost, so that crashes of their targets quarantined sound requests.
+        test("a complete response without a frame is not counted against its request when its target crashes later") {
+            val host = Host()
+            val send = host.arrive(route(RouteKind.SAFE)).sends().single()
+            host.handle(FlowEvent.ResponseStarted(send.send, null))
+            val ended = host.handle(FlowEvent.ResponseCompleted(send.send, 200, isEndCertain = false))
+            ended.filterIsInstance<FlowEffect.ResponseLost>().shouldBeEmpty()
+            val died = host.handle(FlowEvent.TargetDied(send.target.id, 1))
+            died.filterIsInstance<FlowEffect.BroadcastDeath>().shouldBeEmpty()
+        }
+
         test("without a usable target a request is rejected at once, before its stages, and told when one returns") {
             val host = Host()
             host.context.targets = emptyList()
