Bound the crashes that are kept of a cleared part

Callers saw nothing; found in reading the change: the first part of a kind is cleared after most crashes of its engines, and each crash stayed in the list of what it was cleared of, for the life of the process. The newest 64 are kept. PartQuarantineSpec and SoakChecksSpec: 27 passed.

--- a/src/main/kotlin/front/TargetChecks.kt
+++ b/src/main/kotlin/front/TargetChecks.kt
@@ -32,12 +32,8 @@
     private val running = HashSet<TargetIncarnation>()
 
     fun start(target: TargetEntry, healthPath: String) = eventLoop.execute {
-        if (running.add(
-                TargetIncarnation(target.id, target.startTimeMs),
-            )
-        ) {
-            tryOnce(target, healthPath, triesLeft = MAX_TRIES)
-        }
+        val isNew = running.add(TargetIncarnation(target.id, target.startTimeMs))
+        if (isNew) tryOnce(target, healthPath, triesLeft = MAX_TRIES)
     }
 
     private fun tryOnce(target: TargetEntry, healthPath: String, triesLeft: Int) {
--- a/src/main/kotlin/quarantine/PartQuarantine.kt
+++ b/src/main/kotlin/quarantine/PartQuarantine.kt
@@ -35,6 +35,7 @@
 private const val MAX_REPORTED_CRASHES = 8
 private const val MAX_SNAPSHOT = 256
 private const val MAX_CLEARED = 1_024
+private const val MAX_CLEARED_CRASHES = 64
 private const val FIRST_TRIAL_MS = 30_000L
 private const val MAX_TRIAL_INTERVAL_MS = 1_800_000L
 private const val TRIAL_MS = 10_000L // a trial that has not ended by then was never sent
@@ -286,7 +287,8 @@
 
     private fun recordCleared(id: String, crashes: Set<String>, isOwn: Boolean) {
         val before = cleared.remove(id)
-        cleared[id] = Cleared(before?.crashes.orEmpty() + crashes, isOwn || before?.isOwn == true)
+        val all = (before?.crashes.orEmpty() + crashes).toList().takeLast(MAX_CLEARED_CRASHES).toSet()
+        cleared[id] = Cleared(all, isOwn || before?.isOwn == true)
         if (cleared.size > MAX_CLEARED) cleared.remove(cleared.keys.first())
     }
 
