Review case 5: kept channels hold the space of their largest body until the process ends

Tried: 100 callers with kept channels and bodies of 200 KB, then 2.5 times as many for 6 s. The stand-ins now hold their network by a guard socket, since two runs at the same time had met on the same addresses.

--- a/review/lib/Harness.java
+++ b/review/lib/Harness.java
@@ -35,10 +35,22 @@
     final PrintWriter record;
     final Store store;
     final List<Front> fronts = new CopyOnWriteArrayList<>();
-    /** Second byte of the addresses, so that parallel runs do not meet. */
-    final int net = 16 + (int) (ProcessHandle.current().pid() % 200);
+    /** Second byte of the addresses. The guard holds it, so that runs at the same time do not meet. */
+    final int net;
+    private final ServerSocket guard;
 
     Harness(String folder) throws Exception {
+        int free = 16 + (int) (ProcessHandle.current().pid() % 200);
+        ServerSocket held = null;
+        while (held == null) {
+            try {
+                held = new ServerSocket(8600, 1, InetAddress.getByName("127." + free + ".7.254"));
+            } catch (IOException e) {
+                free = 16 + (free - 15) % 200;
+            }
+        }
+        net = free;
+        guard = held;
         dir = Files.createTempDirectory("review");
         record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), true);
         store = new Store(ip(250));
