--- a/review/lib/Harness.java
+++ b/review/lib/Harness.java
@@ -28,7 +28,7 @@
  * Shared parts of the cases: the store of the platform, raw HTTP servers and callers, and the processes of the system,
  * which are started with the run line of the deploy file. Everything is on loopback addresses.
  */
-final class Harness implements AutoCloseable {
+final class Harness {
     static final long T0 = System.nanoTime();
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Path dir;
@@ -93,11 +93,14 @@
         log("exit " + status);
         System.out.println("exit " + status + (status == 1 ? " (rule broken)" : status == 0 ? " (rule held)" : " (not run)"));
         fronts.forEach(Front::destroy);
+        try (var files = Files.walk(dir)) {
+            files.sorted(java.util.Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            // The logs of the processes stay.
+        }
         Runtime.getRuntime().halt(status);
     }
 
-    @Override public void close() { fronts.forEach(Front::destroy); }
-
     // ---------------------------------------------------------------- the system's processes
 
     final class Front {
@@ -300,11 +303,6 @@
             send(extra);
             extra = null;
         }
-
-        /** Whether the other side has closed the channel; reads ahead no byte. */
-        boolean isClosed(BufferedInputStream in) throws IOException {
-            return false;
-        }
     }
 
     /** A server that handles the requests of each channel one at a time. */
@@ -427,11 +425,6 @@
         store.put("keyed.servers", id, entry + beat + "}");
     }
 
-    void unregister(String id) {
-        beats.remove(id);
-        store.put("keyed.servers", id, new byte[0]);
-    }
-
     void startBeats() {
         spawn(() -> {
             while (true) {
