Send a request again on connections that it was not on

What callers saw: an unsafe request that a full target had rejected ran twice, or was refused with 503 although it had run (TWICE, REFUSED).

Cause: an id names a request and not one send of it. A faulty target may send a second copy of an answer where the next answer on the connection is due. After a rejection the request was sent again under the same id, and the pool gives out the connection that was used last: the one that the rejection had come on. The copy of the rejection was taken for the answer to the second send, which the target ran; a third send ran it again, or the caller got the rejection.

Ruled out: that a copy is taken for the answer to another request (skipped by its id) or arrives between two calls (closes the connection).

Change: each request keeps the connections that it was sent on and is never sent on one of them again, whatever the answer was. At the limit of connections, an idle one that has carried the request makes room.

--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -34,6 +34,7 @@
 import org.sesamerouter.web.IncomingRequest
 import org.sesamerouter.web.OutgoingRequest
 import org.sesamerouter.web.ResponseListener
+import org.sesamerouter.web.UsedConnections
 import java.io.ByteArrayOutputStream
 
 private const val MAX_BUFFERED_BYTES = 1024 * 1024
@@ -70,6 +71,7 @@
 ) {
     private val isStream = request.route.kind == RouteKind.STREAM
     private var currentSend: TargetSend? = null
+    private val usedConnections = UsedConnections()
     private var buffered: BufferedResponse? = null
 
     fun send(effect: FlowEffect.Send) {
@@ -100,6 +102,7 @@
             incoming.body,
             responseIdOf(request.id),
             effect.expiresAtMs,
+            usedConnections,
         )
         val next = TargetSend(effect.send, effect.target)
         currentSend = next
--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -1,7 +1,8 @@
 /*
  * The HTTP client that forwards requests to targets and calls the platform, without changing bodies. It matches
  * responses with requests by id, distinguishes complete responses from truncated ones, and reports whether a failed
- * request certainly never left this host or may have been received. All calls and callbacks run on one event loop.
+ * request certainly never left this host or may have been received. An id names a request and not one send of it, so a
+ * request that is sent again uses connections that it was not on. All calls and callbacks run on one event loop.
  * Bytes that belong to no response are bounded by [ResponseByteLimit].
  */
 package org.sesamerouter.web
@@ -39,6 +40,7 @@
  *
  * @property responseId the id that the response has to carry; null if responses carry no id.
  * @property expiresAtMs time after which the request is not sent any more, for example when connecting took too long.
+ * @property usedConnections the connections of all sends of this request; null if it is sent once only.
  */
 class OutgoingRequest(
     val method: String,
@@ -47,8 +49,23 @@
     val body: ByteArray,
     val responseId: ResponseId? = null,
     val expiresAtMs: Long = Long.MAX_VALUE,
+    val usedConnections: UsedConnections? = null,
 )
 
+/**
+ * The connections that a request was sent on. A second copy of a response that came on one of them may follow there and
+ * bears the id of the request, so the request is not sent on it again. Must be used on the event loop.
+ */
+class UsedConnections {
+    private val connections = ArrayList<ForwardConnection>(1)
+
+    internal operator fun contains(connection: ForwardConnection) = connection in connections
+
+    internal fun add(connection: ForwardConnection) {
+        connections += connection
+    }
+}
+
 /** The header and value that match a response with its request. */
 data class ResponseId(val header: String, val value: String)
 
@@ -129,11 +146,11 @@
         maxConnections: Int = Int.MAX_VALUE,
     ): ForwardCall {
         val call = ForwardCall(loop)
-        val pooled = takeIdle(address)
+        val pooled = takeIdle(address, request.usedConnections)
         when {
             pooled != null -> pooled.start(request, listener, call)
 
-            poolOf(address).open >= maxConnections ->
+            poolOf(address).open >= maxConnections && !closeIdle(address) ->
                 listener.onFailed(CallFailure(CallProgress.NOT_ATTEMPTED, "connection limit of $address"))
 
             else -> open(address, request, listener, call)
@@ -208,13 +225,24 @@
         pool.idle.remove(connection)
     }
 
-    private fun takeIdle(address: String): ForwardConnection? {
+    private fun takeIdle(address: String, used: UsedConnections?): ForwardConnection? {
         val idle = pools[address]?.idle ?: return null
-        while (true) {
-            val connection = idle.removeLastOrNull() ?: return null
-            if (connection.isReusable(clock.nowMs())) return connection
+        for (i in idle.indices.reversed()) {
+            val connection = idle[i]
+            val isReusable = connection.isReusable(clock.nowMs())
+            if (isReusable && used != null && connection in used) continue
+            idle.removeAt(i)
+            if (isReusable) return connection
             connection.channel.close()
         }
+        return null
+    }
+
+    /** Closes an idle connection to [address] to make room for a new one; returns whether there was any. */
+    private fun closeIdle(address: String): Boolean {
+        val connection = poolOf(address).idle.removeFirstOrNull() ?: return false
+        connection.channel.close()
+        return true
     }
 
     private fun poolOf(address: String) = pools.getOrPut(address) { ConnectionPool() }
--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -55,6 +55,7 @@
         this.listener = listener
         this.call = call
         call.connection = this
+        request.usedConnections?.add(this)
         responseId = request.responseId
         method = HttpMethod.valueOf(request.method)
         isRequestWritten = false
--- a/src/test/kotlin/front/RawTargets.kt
+++ b/src/test/kotlin/front/RawTargets.kt
@@ -25,11 +25,12 @@
 }
 
 /**
- * A target whose responses are written by [respond]; the connection is closed when it returns. Targets with the same
- * [arrivals] number the arrivals of a request together.
+ * A target whose responses are written by [respond]; the connection is closed when it returns, unless
+ * [keepsConnections]. Targets with the same [arrivals] number the arrivals of a request together.
  */
 internal class RawTarget(
     private val arrivals: ConcurrentHashMap<String, Int> = ConcurrentHashMap(),
+    private val keepsConnections: Boolean = false,
     private val respond: (RawRequest, Socket) -> Unit,
 ) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
@@ -52,13 +53,15 @@
     private fun serve(socket: Socket) {
         try {
             val input = BufferedInputStream(socket.getInputStream())
-            input.readLine()
-            val headers = input.readHeaders()
-            repeat(headers["content-length"]?.toInt() ?: 0) { input.read() }
-            val id = headers["request-id"] ?: return
-            val request = RawRequest(id, headers, arrivals.merge(id, 1, Int::plus) ?: 1)
-            received += request
-            respond(request, socket)
+            do {
+                input.readLine()
+                val headers = input.readHeaders()
+                repeat(headers["content-length"]?.toInt() ?: 0) { input.read() }
+                val id = headers["request-id"] ?: return
+                val request = RawRequest(id, headers, arrivals.merge(id, 1, Int::plus) ?: 1)
+                received += request
+                respond(request, socket)
+            } while (keepsConnections)
         } catch (_: IOException) {
             // The host closed the connection: what it passes on to its caller is what counts.
         }
--- a/src/test/kotlin/web/ForwardSpec.kt
+++ b/src/test/kotlin/web/ForwardSpec.kt
@@ -82,6 +82,31 @@
             ScriptedTarget(listOf(script)).use { call(it.address, "r1").body shouldBe "yours" }
         }
 
+        // Guards against a request that is refused for want of connections, since the idle ones have carried it.
+        test("at the limit of connections, one that has carried a request makes room for its next send") {
+            val script: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write(response("r1", "first"))
+                socket.readHead()
+            }
+            val next: (Socket) -> Unit = { socket ->
+                socket.readHead()
+                socket.write(response("r1", "second"))
+                socket.readHead()
+            }
+            ScriptedTarget(listOf(script, next)).use { target ->
+                val used = UsedConnections()
+                val headers = DefaultHttpHeaders().set("Host", "shop.example").set("Request-Id", "r1")
+                val id = ResponseId("Request-Id", "r1")
+                val request = OutgoingRequest("POST", "/a", headers, ByteArray(0), id, usedConnections = used)
+                for (body in listOf("first", "second")) {
+                    val collector = ResponseCollector()
+                    group.execute { client.send(target.address, request, collector, maxConnections = 1) }
+                    collector.response.get(REPLY_TIMEOUT_S, TimeUnit.SECONDS).body shouldBe body
+                }
+            }
+        }
+
         test("a connection that received data after the response is not reused") {
             val extra: (Socket) -> Unit = { socket ->
                 socket.readHead()
