Bound what one connection costs in a round of the event loop

What callers saw: no answer to any request of a host for 6 to 18 s (CONFIG) while a target in trouble sent a body without end in chunks of 4 bytes.

Cause, in three parts of one class, work for each received part on the one event loop without a bound: - EventSplitter copied and searched all bytes that waited for the end of their event, for each part: quadratic, up to 256 KB. - each part was passed on, and written to its caller, on its own, so that blank lines, comments and events of a few bytes held up the loop as well. - a round of the loop read up to 16 times 64 KB of a connection, over 100,000 parts, before the others got their turn.

Weighed: a limit of parts per connection (where to leave the rest is a second buffer), a thread for each body (one control thread and one loop are the design), larger buffers of 64 KB (twice the pause).

--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -169,6 +169,7 @@
             .option(ChannelOption.AUTO_CLOSE, false) // a response may have arrived when a write fails
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, boundedReads())
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_S)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_S)
@@ -181,6 +182,7 @@
                         .addLast(inputEnd)
                         .addLast(byteLimit)
                         .addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(BodyPartJoiner())
                         .addLast(ForwardConnection(channel, address, this@ForwardClient, inputEnd, byteLimit))
                 }
             })
--- a/src/main/kotlin/web/HttpClient.kt
+++ b/src/main/kotlin/web/HttpClient.kt
@@ -109,6 +109,7 @@
             .reportInputEnd()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, boundedReads())
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
                     val inputEnd = InputEnd()
--- a/src/main/kotlin/web/HttpServer.kt
+++ b/src/main/kotlin/web/HttpServer.kt
@@ -192,6 +192,7 @@
         .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, boundedReads())
         .childOption(
             ChannelOption.WRITE_BUFFER_WATER_MARK,
             WriteBufferWaterMark(LOW_WATERMARK_BYTES, HIGH_WATERMARK_BYTES),
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -182,6 +182,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .handler(AcceptCounter(backlog))
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, boundedReads())
             .childOption(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
                 WriteBufferWaterMark(LOW_WATERMARK_BYTES, HIGH_WATERMARK_BYTES),
--- a/src/test/kotlin/front/EventSplitterSpec.kt
+++ b/src/test/kotlin/front/EventSplitterSpec.kt
@@ -3,15 +3,21 @@
  */
 package org.sesamerouter.front
 
+import com.sun.management.ThreadMXBean
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.property.Arb
 import io.kotest.property.arbitrary.long
 import io.kotest.property.checkAll
 import io.netty.buffer.Unpooled
 import org.sesamerouter.histories
+import java.lang.management.ManagementFactory
 import kotlin.random.Random
 
+private const val LONG_EVENT_BYTES = 64 * 1024
+private const val MAX_ALLOCATED_PER_BYTE = 64L
+
 private fun splitterOf(vararg parts: String) = EventSplitter().apply {
     parts.forEach { add(Unpooled.wrappedBuffer(it.toByteArray())) }
 }
@@ -26,6 +32,18 @@
             splitter.isTooLong shouldBe true
         }
 
+        // Guards against CONFIG: a body in small chunks whose event never ends holds up the event loop for seconds.
+        test("the cost of a byte does not grow with the bytes that wait for the end of their event") {
+            val splitter = EventSplitter()
+            val part = Unpooled.wrappedBuffer(byteArrayOf('x'.code.toByte()))
+            val threads = ManagementFactory.getThreadMXBean() as ThreadMXBean
+            val before = threads.currentThreadAllocatedBytes
+            repeat(LONG_EVENT_BYTES) { splitter.add(part.readerIndex(0)) }
+            val allocated = threads.currentThreadAllocatedBytes - before
+            allocated shouldBeLessThan LONG_EVENT_BYTES * MAX_ALLOCATED_PER_BYTE
+            splitter.isInsideEvent shouldBe true
+        }
+
         // Guards against ORDER: events that come twice, since the stream is resumed after an earlier one.
         test("a stream is not resumed after an event without an id, which the other target would send again") {
             val event = "id: 1\r\ndata: x\r\n\r\n"
