Reject a settings file with a malformed escape instead of raising

Cause: the parser of the settings raises for a malformed \u, and a reload catches only what reading the file raises, so the thread that follows the settings ended and later changes were not seen.

--- a/src/main/kotlin/platform/PlatformSettings.kt
+++ b/src/main/kotlin/platform/PlatformSettings.kt
@@ -59,7 +59,11 @@
 
 /** Parses the settings in [text]. */
 fun parsePlatformSettings(text: String): Result<FrontSettings, SettingsError> {
-    val values = Properties().apply { load(StringReader(text)) }
+    val values = try {
+        Properties().apply { load(StringReader(text)) }
+    } catch (e: IllegalArgumentException) {
+        return Err(SettingsError("the settings cannot be read: ${e.message} Write \\\\ for a backslash"))
+    }
 
     fun value(name: String): String? = values.getProperty(name)?.trim()?.takeIf { it.isNotEmpty() }
     val requiredNames = listOf(
--- a/src/test/kotlin/platform/PlatformDecodersSpec.kt
+++ b/src/test/kotlin/platform/PlatformDecodersSpec.kt
@@ -88,6 +88,12 @@
             parsePlatformSettings("$SETTINGS\nbounds.ttl_max_s=1.5").get()?.addressTtlMs shouldBe 1_500
         }
 
+        // Guards against a reload that ends the thread of the settings, so that later changes are not seen.
+        test("settings with a malformed escape are rejected with a message") {
+            val fault = parsePlatformSettings("$SETTINGS\nextra=\\u12").getError().shouldNotBeNull()
+            fault.message shouldContain "backslash"
+        }
+
         test("declarations are decoded: longest prefix match, shares, result space, API keys and limits") {
             val config = decodeServingConfig(CONFIG).shouldNotBeNull()
             config.version shouldBe 7
