Skip records that cannot be read, however deeply they are nested

Hosts that ran on no longer followed the targets.

Cause: the JSON parser recurses for each level, and raised a StackOverflowError on the stacks of 256 KB. The decoders caught only SerializationException and the control loop only Exception, so the task that reads all entries ended without a line, at the same position each time.

Change: one function decodes the documents of the platform; it bounds their nesting before they are parsed and returns null for whatever is none. An unreadable entry is skipped, logged with its key and size, and counted. The control loop logs an Error as well and goes on with its repeated tasks. Related: values of the store that are no Base64 ended the read of a whole page; addresses such as 10.0.0.1:99999 raised in the client when a request was sent to them, and those of hosts that are none in the link.

--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -10,12 +10,15 @@
 import org.sesamerouter.discovery.EntryChange
 import org.sesamerouter.discovery.EntryRead
 import org.sesamerouter.discovery.TargetDirectory
+import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.host.ControlLoop
 import org.sesamerouter.platform.KeyedRecords
 import org.sesamerouter.platform.KeyedTopic
 import org.sesamerouter.platform.StoreClient
 import org.sesamerouter.platform.StoreOutcome
 import org.sesamerouter.platform.decodeTargetEntry
+import org.sesamerouter.platform.isAddress
+import org.sesamerouter.platform.isReadableEntry
 import org.sesamerouter.propagation.storeRetryMs
 import java.util.concurrent.ThreadLocalRandom
 
@@ -71,6 +74,7 @@
     private var lastSuccessMs = Long.MIN_VALUE / 2
 
     private var era = 0L
+    private var unreadableEntries = 0L
 
     /** Era of the store that holds the registration of this host; null before it is registered. */
     private var registeredEra: Long? = null
@@ -153,10 +157,20 @@
 
     private fun toEntryRead(records: KeyedRecords, from: Long, full: Boolean): EntryRead {
         val newest = records.records.associateBy { it.key }.values
-        val changes = newest.map { EntryChange(it.key, it.offset, it.text?.let { t -> decodeTargetEntry(it.key, t) }) }
+        val changes = newest.map { EntryChange(it.key, it.offset, it.text?.let { t -> toTarget(it.key, t) }) }
         return EntryRead(from, records.end, full, changes, records.era)
     }
 
+    /** An entry that cannot be read, for example one of another writer, does not keep the others from being read. */
+    private fun toTarget(key: String, text: String): TargetEntry? {
+        val target = decodeTargetEntry(key, text)
+        if (target == null && !isReadableEntry(text)) {
+            unreadableEntries++
+            log.write("entry-unreadable", "key" to key, "characters" to text.length, "count" to unreadableEntries)
+        }
+        return target
+    }
+
     private fun retryMs(baseMs: Long) =
         storeRetryMs(baseMs, listener.liveHosts(), ThreadLocalRandom.current().nextDouble())
 
@@ -190,7 +204,7 @@
 
     private fun onHosts(outcome: StoreOutcome<KeyedRecords>, number: Long) {
         if (outcome is StoreOutcome.Done) {
-            listener.onHosts(outcome.value.records.mapNotNull { it.text }.filter { it != linkAddress })
+            listener.onHosts(outcome.value.records.mapNotNull { it.text }.filter { it != linkAddress && isAddress(it) })
         } else {
             controlLoop.after(registrationRetryMs(listener.liveHosts(), ThreadLocalRandom.current().nextDouble())) {
                 registerHost(number)
--- a/src/main/kotlin/host/ControlLoop.kt
+++ b/src/main/kotlin/host/ControlLoop.kt
@@ -52,7 +52,8 @@
     private fun runAndLogFailure(task: () -> Unit) {
         try {
             task()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            // An Error too: the executor would drop it without a line, and end a repeated task.
             logger.error("control task failed; please report this stack trace", e)
         }
     }
--- a/src/main/kotlin/platform/ConfigDecoder.kt
+++ b/src/main/kotlin/platform/ConfigDecoder.kt
@@ -5,8 +5,6 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
@@ -27,13 +25,10 @@
 
 private const val BYTES_PER_MB = 1_000_000.0
 private const val DEFAULT_RANK = 5
+private const val MAX_ADDRESS_BYTE = 255
+private const val MAX_PORT = 65_535
 private const val DEFAULT_CONNECTIONS = 64
 
-internal val platformJson = Json {
-    ignoreUnknownKeys = true
-    isLenient = false
-}
-
 @Serializable
 private data class WireConfig(
     val version: Long,
@@ -104,13 +99,7 @@
 )
 
 /** Decodes the declarations in [text]; returns null if it is not a valid configuration. */
-fun decodeServingConfig(text: String): ServingConfig? = try {
-    platformJson.decodeFromString(WireConfig.serializer(), text).toModel()
-} catch (_: SerializationException) {
-    null
-} catch (_: IllegalArgumentException) {
-    null
-}
+fun decodeServingConfig(text: String): ServingConfig? = decodeDocument(WireConfig.serializer(), text)?.toModel()
 
 private fun WireConfig.toModel() = ServingConfig(
     version,
@@ -161,13 +150,9 @@
  * writers may lack fields or contain arbitrary data.
  */
 fun decodeTargetEntry(id: String, text: String): TargetEntry? {
-    val fields = try {
-        platformJson.parseToJsonElement(text) as? JsonObject
-    } catch (_: SerializationException) {
-        null
-    } ?: return null
+    val fields = decodeDocument(JsonElement.serializer(), text) as? JsonObject ?: return null
     val state = fields.text("state")
-    val address = fields.text("address")?.takeIf { ADDRESS.matches(it) }
+    val address = fields.text("address")?.takeIf(::isAddress)
     if (address == null || state !in setOf("ready", "draining")) return null
     return TargetEntry(
         id = id,
@@ -181,7 +166,16 @@
     )
 }
 
-private val ADDRESS = Regex("""\d{1,3}(\.\d{1,3}){3}:\d{1,5}""")
+/** Whether [text] is an entry at all, be it one that names no target. */
+fun isReadableEntry(text: String): Boolean = decodeDocument(JsonElement.serializer(), text) is JsonObject
+
+/** Whether [text] is an address and port that a connection can be opened to. */
+fun isAddress(text: String): Boolean {
+    val numbers = ADDRESS.matchEntire(text)?.destructured?.toList()?.map { it.toInt() } ?: return false
+    return numbers.dropLast(1).all { it in 0..MAX_ADDRESS_BYTE } && numbers.last() in 1..MAX_PORT
+}
+
+private val ADDRESS = Regex("""(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})""")
 
 private fun JsonObject.text(name: String): String? = (this[name] as? JsonPrimitive)?.takeIf { it.isString }?.content
 
--- a/src/main/kotlin/platform/StageCalls.kt
+++ b/src/main/kotlin/platform/StageCalls.kt
@@ -5,7 +5,6 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import org.sesamerouter.batching.CallItem
 import org.sesamerouter.batching.PieceOutcome
 import org.sesamerouter.discovery.TargetEntry
@@ -55,11 +54,7 @@
  * starts with the address of the target that created it, so a handle of another target belongs to another call.
  */
 fun decodeStageRun(target: TargetEntry, count: Int, text: String): List<PieceOutcome>? {
-    val items = try {
-        platformJson.decodeFromString(WirePieceResults.serializer(), text).items
-    } catch (_: SerializationException) {
-        return null
-    }
+    val items = decodeDocument(WirePieceResults.serializer(), text)?.items ?: return null
     if (items.size != count) return null
     return items.map { item ->
         when {
--- a/src/main/kotlin/platform/StoreClient.kt
+++ b/src/main/kotlin/platform/StoreClient.kt
@@ -11,13 +11,13 @@
 import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import org.sesamerouter.web.BodyFraming
 import org.sesamerouter.web.CallFailure
 import org.sesamerouter.web.ForwardCall
 import org.sesamerouter.web.ForwardClient
 import org.sesamerouter.web.OutgoingRequest
 import org.sesamerouter.web.ResponseListener
+import org.slf4j.LoggerFactory
 import java.io.ByteArrayOutputStream
 import java.net.URLEncoder
 import java.nio.ByteBuffer
@@ -95,6 +95,8 @@
 
 /** A client of the store at [address]. It may be used on the event loop [loop] only. */
 class StoreClient(private val address: String, private val client: ForwardClient, private val loop: EventLoop) {
+    private val logger = LoggerFactory.getLogger(StoreClient::class.java)
+
     /** Number of calls so far. */
     var calls = 0L
         private set
@@ -167,7 +169,15 @@
     }
 
     private fun recordOf(item: NewestItem) =
-        KeyedRecord(item.key, item.value?.let(Base64.getDecoder()::decode), item.offset)
+        KeyedRecord(item.key, item.value?.let { decodeValue(item.key, it) }, item.offset)
+
+    /** A value that is no Base64 is passed on as it is: a record that cannot be read, not one that was removed. */
+    private fun decodeValue(key: String, value: String): ByteArray = try {
+        Base64.getDecoder().decode(value)
+    } catch (e: IllegalArgumentException) {
+        logger.warn("the value of the record {}, {} characters, is no Base64: {}", key, value.length, e.message)
+        value.toByteArray()
+    }
 
     private fun call(
         method: String,
@@ -208,11 +218,8 @@
     }
 }
 
-private fun <T> decodeJson(serializer: kotlinx.serialization.KSerializer<T>, bytes: ByteArray): T? = try {
-    platformJson.decodeFromString(serializer, bytes.toString(Charsets.UTF_8))
-} catch (_: SerializationException) {
-    null
-}
+private fun <T> decodeJson(serializer: kotlinx.serialization.KSerializer<T>, bytes: ByteArray): T? =
+    decodeDocument(serializer, bytes.toString(Charsets.UTF_8))
 
 /** Decodes a reply to a read: the end offset, the first offset, then length-prefixed records; null if truncated. */
 internal fun decodeRecords(bytes: ByteArray, from: Long): KeyedRecords? {
--- a/src/test/kotlin/front/FrontHostSpec.kt
+++ b/src/test/kotlin/front/FrontHostSpec.kt
@@ -22,6 +22,7 @@
 
 // Requests that a stopping host takes have to end within its grace.
 private const val LONG_GRACE_MS = 20_000L
+private const val MAX_RECORD_BYTES = 262_144
 
 private fun okResponse(body: String) = CollectedResponse(200, body, failure = null, sent = true)
 
@@ -61,6 +62,21 @@
             }
         }
 
+        // Guards against RECOVER: an entry that cannot be read keeps all others from being read.
+        test("an entry of another writer that is nested deeply keeps no host from becoming ready") {
+            Site().use { site ->
+                site.declare(1, "\"k1\"")
+                site.platform.store.put("keyed.servers", "foreign", "[".repeat(MAX_RECORD_BYTES))
+                site.register("d0", "desk", site.platform.echoTarget())
+                site.startHost()
+                site.awaitReady(1)
+                site.send(0, "/book/x", "a").get() shouldBe okResponse("answer to a: body of a")
+                site.platform.store.put("keyed.servers", "foreign", "{\"a\":".repeat(MAX_RECORD_BYTES / 5))
+                site.register("d1", "desk", site.platform.echoTarget())
+                runBlocking { eventually(TIMEOUT) { site.targetCount(0) shouldBe 2 } }
+            }
+        }
+
         test(
             "requests get 503 before the first configuration; keys apply from their version on, also without the store",
         ) {
