Use a stage connection again only after an answer shown to be its call's

What callers saw: 36 to 185 of some 510 requests ran with the results of other requests (MIXED) after one to three late second answers of a stage target.

Cause: answers to stage calls bear no id, so that only their order on the connection tells which call they belong to. The copy of an answer ended the next call, the connection went back to the pool with that call's real answer still due, and from then on each call there got the answer to the one before. PieceQueue noticed the copy by its handles, but kept the connection.

Change: a connection is kept only after an answer with the handle of a new result, which no copy and no answer to another call on it can hold; after a rejection, a failure, an answer without results or one with a handle that was received before it is closed, and the call gets no result from it.

Calls that free results, health checks and store calls give no result to a request, and a wrong answer to a stage call is no answer with new handles.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -27,7 +27,6 @@
 private const val SMALL_CALL_DIVISOR = 3 // calls filled below a third waste most of their fixed time
 private const val LOCAL_TARGET_MAX_WAIT_MS = 400L // a longer wait costs more than a cross-data-centre transfer
 private const val LOCAL_TARGET_SLACK_MS = 150L
-private const val HANDLE_MEMORY_MS = 30_000L // a late second copy of a reply arrives within seconds
 
 /** The batching queue of the pool [service]. Not thread-safe. */
 class PieceQueue(val service: String, private var spec: BatchSpec) {
@@ -51,9 +50,7 @@
     private val running = HashMap<Long, RunningCall>()
     private val results = HashMap<String, StoredResult>()
     private val releases = HashMap<Long, PendingRelease>()
-
-    /** Times at which handles were received, also of results that were freed since; oldest first. */
-    private val receivedHandles = LinkedHashMap<String, Long>()
+    private val receivedHandles = ReceivedHandles()
     private val effects = ArrayList<PoolEffect>()
     private var sequence = 0L
 
@@ -176,7 +173,6 @@
             job.areInputsReported = true
             effects += PoolEffect.InputsFetched(job.spec.pieces.flatMap { it.inputs }.distinct())
         }
-        receivedHandles.values.removeIf { now - it >= HANDLE_MEMORY_MS }
         updateUnschedulable(now)
         jobs.values.filter {
             it.deadlineMs <= now || shouldDrop(it, now)
@@ -227,7 +223,7 @@
     private fun onItem(run: RunningCall, item: QueuedPiece, outcome: PieceOutcome, now: Long) {
         val bytes = item.job.spec.resultBytes
         item.job.running--
-        val isRepeated = outcome is PieceOutcome.Made && receivedHandles.putIfAbsent(outcome.handle, now) != null
+        val isRepeated = outcome is PieceOutcome.Made && !receivedHandles.add(outcome.handle, now)
         if (outcome !is PieceOutcome.Made || isRepeated) run.target.usedBytes -= bytes
         when (outcome) {
             is PieceOutcome.Made -> if (isRepeated) {
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -95,7 +95,7 @@
     private val exchanges = CallerExchanges(this, client, eventLoop, clock, log, metrics)
     internal val stages = StageRouter(
         this,
-        StageCallAdapter(client, eventLoop, controlLoop, log, metrics, ::onNotice),
+        StageCallAdapter(client, eventLoop, controlLoop, log, metrics, ::onNotice, clock),
         peers,
         clock,
         log,
--- a/src/main/kotlin/front/StageCallAdapter.kt
+++ b/src/main/kotlin/front/StageCallAdapter.kt
@@ -1,5 +1,7 @@
 /*
- * Sends the calls that the queues of stage pools start to their targets.
+ * Sends the calls that the queues of stage pools start to their targets. Answers bear no id, so only their order on a
+ * connection tells which call they belong to: a connection is used again only after an answer that is shown to be that
+ * of its call, by the handle of a new result. After any other answer, the one that is due might still follow.
  */
 package org.sesamerouter.front
 
@@ -7,7 +9,10 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpHeaders
 import org.sesamerouter.batching.CallOutcome
+import org.sesamerouter.batching.PieceOutcome
 import org.sesamerouter.batching.PoolEffect
+import org.sesamerouter.batching.ReceivedHandles
+import org.sesamerouter.clock.Clock
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.host.ControlLoop
 import org.sesamerouter.platform.decodeResponseHead
@@ -35,13 +40,17 @@
     private val log: DecisionLog,
     private val metrics: FrontMetrics,
     private val onNotice: (TargetEntry, TargetNotice) -> Unit,
+    private val clock: Clock,
 ) : StageTargetClient {
+    private val receivedHandles = ReceivedHandles()
+
     override fun run(call: PoolEffect.Call, maxConnections: Int, onEnded: (CallOutcome) -> Unit) {
         metrics.stageCalls.increment()
         metrics.stagePieces.increment(call.items.size.toDouble())
         eventLoop.execute {
-            val reply = BufferedReply({ onNotice(call.target, it) }) { status, isNotRun, body ->
+            val reply = BufferedReply({ onNotice(call.target, it) }) { reply, status, isNotRun, body ->
                 val outcome = outcomeOf(call, status, isNotRun, body)
+                if (!hasNewResult(outcome)) reply.closeConnection()
                 if (outcome !is CallOutcome.Answered) {
                     log.write("stage-call-failed", "call" to call.call, "target" to call.target.id, "why" to outcome)
                 }
@@ -58,7 +67,7 @@
     }
 
     override fun free(effect: PoolEffect.Free, onFreed: () -> Unit) = eventLoop.execute {
-        val reply = BufferedReply({ onNotice(effect.target, it) }) { _, _, _ -> controlLoop.post(onFreed) }
+        val reply = BufferedReply({ onNotice(effect.target, it) }) { _, _, _, _ -> controlLoop.post(onFreed) }
         reply.call = client.send(effect.target.address, encodeStageFree(effect.target, effect.handles), reply)
         reply.startTimeout(eventLoop, FREE_TIMEOUT_MS)
     }
@@ -67,17 +76,30 @@
         isNotRun -> CallOutcome.Refused
 
         status == OK_STATUS ->
-            decodeStageRun(call.target, call.items.size, body)?.let { CallOutcome.Answered(it) }
+            decodeStageRun(call.target, call.items.size, body)?.let(::answered)
                 ?: CallOutcome.Failed("the reply is not one to this call")
 
         else -> CallOutcome.Failed(if (status == 0) body else "status $status")
     }
+
+    private fun answered(items: List<PieceOutcome>): CallOutcome {
+        val now = clock.nowMs()
+        val areNew = items.filterIsInstance<PieceOutcome.Made>().map { receivedHandles.add(it.handle, now) }
+        return if (areNew.all { it }) {
+            CallOutcome.Answered(items)
+        } else {
+            CallOutcome.Failed("the reply is a second copy of one to an earlier call")
+        }
+    }
+
+    private fun hasNewResult(outcome: CallOutcome) =
+        outcome is CallOutcome.Answered && outcome.items.any { it is PieceOutcome.Made }
 }
 
 /** Buffers a small reply. A call without a reply ends with status 0 and the cause as the body. */
 private class BufferedReply(
     private val onNotice: (TargetNotice) -> Unit,
-    private val onReply: (status: Int, isNotRun: Boolean, body: String) -> Unit,
+    private val onReply: (reply: BufferedReply, status: Int, isNotRun: Boolean, body: String) -> Unit,
 ) : ResponseListener {
     var call: ForwardCall? = null
     private var timeout: Future<*>? = null
@@ -121,6 +143,11 @@
         if (isEnded) return
         isEnded = true
         timeout?.cancel(false)
-        onReply(status, isNotRun, text)
+        onReply(this, status, isNotRun, text)
+    }
+
+    /** Closes the connection, also after the end of the call: what still arrives there belongs to no other call. */
+    fun closeConnection() {
+        call?.cancel()
     }
 }
--- a/src/test/kotlin/platform/ForeignDocumentsSpec.kt
+++ b/src/test/kotlin/platform/ForeignDocumentsSpec.kt
@@ -45,7 +45,11 @@
 
 private val TOKENS = listOf(
     "{", "}", "[", "]", ",", ":", "\"", "\\", "\"items\"", "\"service\":", "\"state\":\"ready\"", "\"slots\":",
-    "\"address\":\"1.2.3.4:80\"", "9".repeat(40), "-1e999", "null", "true", "\u0000", "\uD800", "\\u12", " ", "\n", "a.b=",
+    "\"address\":\"1.2.3.4:80\"",
+    "9".repeat(
+        40,
+    ),
+    "-1e999", "null", "true", "\u0000", "\uD800", "\\u12", " ", "\n", "a.b=",
 )
 
 private fun randomDocument(random: Random): ByteArray = if (random.nextBoolean()) {
@@ -78,7 +82,9 @@
         test("random documents raise nothing") {
             checkAll(histories(seed = 39), Arb.long()) { seed ->
                 val bytes = randomDocument(Random(seed))
-                withClue(bytes.toString(Charsets.UTF_8)) { runCatching { decodeAll(bytes) }.exceptionOrNull().shouldBeNull() }
+                withClue(bytes.toString(Charsets.UTF_8)) {
+                    runCatching { decodeAll(bytes) }.exceptionOrNull().shouldBeNull()
+                }
             }
         }
 
