Bound the memory of request bodies of all connections together

Cause: each connection kept a buffer of the size of its largest body for as long as it was open, and nothing bounded the bodies in progress.

Change: a connection without a request holds nothing of a body. All bodies that are received, or belong to unanswered requests, share a quarter of the heap, the last quarter of it for bodies of up to 64 KB; a body over it is rejected at once with 503 and Retry-After, and the rest of it is read without being kept, so that closing does not cost the rejection. A rejected request behind another one no longer closes the connection before the other is answered. Weighed: to stop reading until there is room (half-read bodies could hold all of the budget for their timeout).

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -43,6 +43,7 @@
 import org.sesamerouter.web.IncomingRequest
 import org.sesamerouter.web.RequestLimits
 import org.sesamerouter.web.RequestServer
+import org.sesamerouter.web.bodyBudgetOfHeap
 import org.sesamerouter.web.measureLoopLag
 import org.sesamerouter.web.startRequestServer
 import org.slf4j.LoggerFactory
@@ -76,6 +77,8 @@
     private val eventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val eventLoop = eventLoopGroup.next() as EventLoop
     private val loopLag = measureLoopLag(eventLoop, clock)
+    private val bodyBudget =
+        bodyBudgetOfHeap { bytes, used -> log.write("body-rejected", "bytes" to bytes, "used-bytes" to used) }
     private val client = ForwardClient(eventLoop, clock)
     private val metrics = FrontMetrics()
     internal val directory = TargetDirectory()
@@ -173,7 +176,7 @@
     }
 
     private fun listen(address: String, limits: () -> RequestLimits, handler: (IncomingRequest) -> Unit) {
-        servers += startRequestServer(address, eventLoopGroup, clock, limits, loopLag, handler)
+        servers += startRequestServer(address, eventLoopGroup, clock, limits, loopLag, bodyBudget, handler)
     }
 
     private fun registerGauges() {
--- a/src/main/kotlin/web/RequestConnection.kt
+++ b/src/main/kotlin/web/RequestConnection.kt
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
@@ -25,11 +26,11 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
-import java.io.ByteArrayOutputStream
 
 private const val MAX_PIPELINED_REQUESTS = 8
 private const val MAX_LINE_BYTES = 8_192
 private const val REQUEST_TIMEOUT_STATUS = 408
+private const val SPACE_RETRY_AFTER_S = 1 // requests that hold the space end within about a second
 
 /** Records when data is received, before it is decoded. */
 internal class ActivityTracker(private val connection: RequestConnection) : ChannelInboundHandlerAdapter() {
@@ -52,8 +53,11 @@
     private val pipelined = ArrayDeque<IncomingRequest>()
     private var current: IncomingRequest? = null
     private var head: HttpRequest? = null
-    private val body = ByteArrayOutputStream()
+    private var body: ReceivedBody? = null
     private var isRejected = false
+
+    /** The status of a rejection that waits for the answers to the requests before. */
+    private var rejection: HttpResponseStatus? = null
     private var lastActivityMs = server.clock.nowMs()
     private var requestStartedMs = -1L
 
@@ -78,7 +82,10 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         try {
-            if (isRejected) return
+            if (isRejected) {
+                if (message is LastHttpContent && current == null) channel.close()
+                return
+            }
             if (message is HttpRequest) onHead(message)
             if (!isRejected && message is HttpContent) onContent(message)
         } finally {
@@ -101,7 +108,8 @@
 
             else -> {
                 head = request
-                body.reset()
+                val length = HttpUtil.getContentLength(request, -1L)
+                body = ReceivedBody(server.budget, length.takeIf { it >= 0 }?.toInt())
                 if (HttpUtil.is100ContinueExpected(request)) {
                     channel.writeAndFlush(
                         DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE),
@@ -121,39 +129,45 @@
 
     private fun onContent(content: HttpContent) {
         val request = head ?: return
+        val body = body ?: return
         if (content.decoderResult().isFailure) {
             reject(HttpResponseStatus.BAD_REQUEST)
             return
         }
         val part = content.content()
-        if (body.size() + part.readableBytes() > server.limits().maxBodyBytes) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-            return
+        when {
+            body.size + part.readableBytes() > server.limits().maxBodyBytes ->
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+
+            !body.add(part) -> rejectForSpace(isWhole = content is LastHttpContent)
+
+            content is LastHttpContent -> onRequestComplete(request, body)
         }
-        part.readBytes(body, part.readableBytes())
-        if (content is LastHttpContent) onRequestComplete(request)
     }
 
-    private fun onRequestComplete(request: HttpRequest) {
+    private fun onRequestComplete(request: HttpRequest, received: ReceivedBody) {
         head = null
+        body = null
         val startedMs = requestStartedMs
         requestStartedMs = -1
         val incoming = IncomingRequest(
             request.method().name(),
             request.uri(),
             request.headers(),
-            body.toByteArray(),
+            received.take(),
             startedMs,
             requests++ > 0,
             HttpUtil.isKeepAlive(request),
             request.protocolVersion() >= HttpVersion.HTTP_1_1,
             this,
         )
-        body.reset()
         when {
             current == null -> begin(incoming)
             pipelined.size < MAX_PIPELINED_REQUESTS -> pipelined.addLast(incoming)
-            else -> channel.close()
+            else -> {
+                server.budget.release(incoming.body.size)
+                channel.close()
+            }
         }
     }
 
@@ -214,11 +228,15 @@
         if (current !== request) return
         request.isOpen = false
         current = null
+        server.budget.release(request.body.size)
         lastActivityMs = server.clock.nowMs()
         val next = if (closes) null else pipelined.removeFirstOrNull()
+        val status = rejection
         when {
             next != null -> begin(next)
 
+            status != null && !closes -> writeRejection(status).addListener { channel.close() }
+
             // The response may have begun before the server was closing, and so not announce the end of the connection.
             closes || (server.isClosing && requestStartedMs < 0) ->
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { channel.close() }
@@ -227,7 +245,8 @@
 
     fun checkTimeouts(now: Long, limits: RequestLimits) {
         when {
-            isRejected || current != null -> return
+            current != null -> return
+            isRejected -> if (now - lastActivityMs >= limits.idleTimeoutMs) channel.close()
             requestStartedMs < 0 -> if (now - lastActivityMs >= limits.idleTimeoutMs) channel.close()
             head == null -> if (now - requestStartedMs >= limits.headerTimeoutMs) reject(REQUEST_TIMEOUT_STATUS)
             now - lastActivityMs >= limits.idleTimeoutMs -> reject(REQUEST_TIMEOUT_STATUS)
@@ -236,22 +255,47 @@
 
     private fun reject(status: Int) = reject(HttpResponseStatus.valueOf(status))
 
+    /** Rejects the request that is being read, after the answers to those before it, and closes the connection. */
     private fun reject(status: HttpResponseStatus) {
         isRejected = true
-        if (current != null) {
-            channel.close()
-            return
-        }
+        discardBody()
+        if (current != null) rejection = status else writeRejection(status).addListener { channel.close() }
+    }
+
+    /**
+     * Rejects a request whose body has no room at once, and reads the rest of it without keeping it: closing before
+     * the caller has sent all would reset the connection and could cost the answer.
+     */
+    private fun rejectForSpace(isWhole: Boolean) {
+        if (isWhole || current != null) return reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        isRejected = true
+        discardBody()
+        writeRejection(HttpResponseStatus.SERVICE_UNAVAILABLE)
+    }
+
+    private fun discardBody() {
+        body?.discard()
+        body = null
+        head = null
+    }
+
+    private fun writeRejection(status: HttpResponseStatus): ChannelFuture {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0)
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        channel.writeAndFlush(response).addListener { channel.close() }
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, SPACE_RETRY_AFTER_S)
+        }
+        return channel.writeAndFlush(response)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         server.onConnectionClosed(this)
+        discardBody()
         val abandoned = current
         current = null
+        abandoned?.let { server.budget.release(it.body.size) }
+        pipelined.forEach { server.budget.release(it.body.size) }
         pipelined.clear()
         if (abandoned != null && abandoned.isOpen) {
             abandoned.isOpen = false
--- a/src/main/kotlin/web/RequestServer.kt
+++ b/src/main/kotlin/web/RequestServer.kt
@@ -161,6 +161,7 @@
     internal val clock: Clock,
     internal val limits: () -> RequestLimits,
     internal val lag: LoopLag,
+    internal val budget: BodyBudget,
     internal val handler: (IncomingRequest) -> Unit,
 ) {
     private val connections = LinkedHashSet<RequestConnection>()
@@ -266,7 +267,7 @@
 
 /**
  * Starts a server at [address]. It calls [handler] for each request, on the event loop of the connection; [lag] tells
- * how long requests may have waited for it.
+ * how long requests may have waited for it, and bodies that do not fit into [budget] are rejected with 503.
  */
 fun startRequestServer(
     address: String,
@@ -274,5 +275,6 @@
     clock: Clock,
     limits: () -> RequestLimits,
     lag: LoopLag = measureLoopLag(group.next() as EventLoop, clock),
+    budget: BodyBudget = bodyBudgetOfHeap(),
     handler: (IncomingRequest) -> Unit,
-): RequestServer = RequestServer(group, clock, limits, lag, handler).also { it.start(address) }
+): RequestServer = RequestServer(group, clock, limits, lag, budget, handler).also { it.start(address) }
