Close the connection of a check whose answer has no end

Cause: a check ended at the head of the answer, and its timeout cancelled only a check that had not ended, so that an answer without end was read for good.

Change: the timeout of a check closes the connection unless the answer is complete.

Evidence: TargetChecksSpec failed before (no close within 30 s).

--- a/src/main/kotlin/front/TargetChecks.kt
+++ b/src/main/kotlin/front/TargetChecks.kt
@@ -55,10 +55,12 @@
     ) : ResponseListener {
         var call: ForwardCall? = null
         private var isEnded = false
+        private var isComplete = false
 
+        /** Ends the check, and the connection of an answer that is not complete by then: its body may have no end. */
         fun startTimeout() {
             eventLoop.schedule({
-                if (!isEnded) call?.cancel()
+                if (!isComplete) call?.cancel()
                 end(TargetVerdict.UNKNOWN, "no answer within $TIMEOUT_MS ms")
             }, TIMEOUT_MS, TimeUnit.MILLISECONDS)
         }
@@ -70,9 +72,12 @@
 
         override fun onBody(content: ByteBuf) = Unit
 
-        override fun onEnd() = Unit
+        override fun onEnd() {
+            isComplete = true
+        }
 
         override fun onFailed(failure: CallFailure) {
+            isComplete = true
             val isRefused = failure.reason == BreakReason.REFUSED
             end(if (isRefused) TargetVerdict.CRASHED else TargetVerdict.UNKNOWN, failure.cause)
         }
