Cut a stream of more events than its request allows

What callers saw: a target in trouble that sends whole events without end keeps a stream, and its host, busy until the deadline of the request.

Cause: only the bytes of an event that has not ended had a bound.

Change: the events of a stream are bounded by the tokens that the request announces, 4 KB for each and 256 KB besides; a sound event holds a token or more and is well below 1 KB. Blank lines and comments without an event have had the bound of an event since. The decision log says which bound it was. Without an announced size, the deadline ends the stream.

Also wraps lines that the formatter reports.

--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -44,6 +44,8 @@
 private const val STREAM_INACTIVITY_SHARE = 0.5 // leaves as much time to resume the stream at another target
 private const val MAX_DECISION_AGE_MS = 500L // what a send was decided by may no longer hold after a pause
 private const val SAFE_INACTIVITY_MS = 700L // several times the longest processing time of a plain request
+private const val MAX_STREAM_BASE_BYTES = 256 * 1024L // comments, blank lines and events without tokens
+private const val MAX_TOKEN_BYTES = 4 * 1024L // an event holds a token or more, and is well below 1 KB
 private const val EVENT_STREAM_TYPE = "text/event-stream"
 
 /** Collaborators of an exchange; [remove] ends its registration in [CallerExchanges]. */
@@ -190,6 +192,9 @@
         private var startedMs = 0L
         private var isPastBeginning = false
 
+        /** Bytes of a stream that were passed on from this send. */
+        private var streamBytes = 0L
+
         /** Whether any of the body, whole events in a stream, was passed on. */
         private var hasEvents = false
 
@@ -245,15 +250,32 @@
             if (forwarded != null) {
                 // Single bytes of an event are no progress: a stalled target may send some now and then.
                 onProgress()
+                streamBytes += forwarded.readableBytes()
                 incoming.write(forwarded)
             }
-            if (events?.isTooLong == true) {
-                giveUp("an event without end")
+            val excess = events?.let(::excessOf)
+            if (excess != null) {
+                giveUp(excess)
                 return
             }
             if (!incoming.isWritable) call?.setReading(false)
         }
 
+        /** Says what [events] has too much of; null if nothing. */
+        private fun excessOf(events: EventSplitter): String? {
+            val tokens = request.maxOutputTokens
+            return when {
+                events.isTooLong && events.isInsideEvent -> "an event without end"
+
+                events.isTooLong -> "blank lines and comments without end"
+
+                tokens != null && streamBytes > MAX_STREAM_BASE_BYTES + tokens.toLong() * MAX_TOKEN_BYTES ->
+                    "$streamBytes bytes of events for at most $tokens tokens"
+
+                else -> null
+            }
+        }
+
         private fun onProgress() {
             hasEvents = true
             lastProgressMs = deps.clock.nowMs()
--- a/src/main/kotlin/front/CallerExchanges.kt
+++ b/src/main/kotlin/front/CallerExchanges.kt
@@ -155,6 +155,7 @@
             promptParts = headers.parts,
             fingerprint = "${incoming.method} ${incoming.uri} ${organisation?.name} ${bodyHash.toULong()}",
             lastEventId = headers.lastEventId,
+            maxOutputTokens = headers.maxOutputTokens,
         )
     }
 
--- a/src/main/kotlin/platform/RequestHeaders.kt
+++ b/src/main/kotlin/platform/RequestHeaders.kt
@@ -25,6 +25,7 @@
 private const val NOT_RUN = "Not-Run"
 private const val RETRY_AFTER = "Retry-After"
 internal const val PROMPT_PARTS = "Prefix-Hash"
+private const val TOKEN_COUNTS = "Token-Counts" // of the prompt and, at most, of the answer
 internal const val PIECES = "Pieces"
 internal const val PIECE_KEY = "Piece-Key"
 private const val INPUTS = "Inputs"
@@ -55,6 +56,7 @@
  *
  * @property deadlineMs how long the caller waits; null if not specified.
  * @property pieces the number of pieces of each stage.
+ * @property maxOutputTokens how many tokens the answer has at most; null if not specified.
  */
 data class CallerHeaders(
     val id: String?,
@@ -65,6 +67,7 @@
     val pieces: List<Int>,
     val pieceKey: String?,
     val parts: List<PromptPart>,
+    val maxOutputTokens: Int?,
 )
 
 /** Decodes the headers of a caller's request. */
@@ -78,6 +81,7 @@
     pieces = headers.get(PIECES)?.split(',')?.map { it.trim().toIntOrNull() ?: 0 }.orEmpty(),
     pieceKey = headers.get(PIECE_KEY),
     parts = headers.get(PROMPT_PARTS)?.split(',')?.mapNotNull(::decodePart).orEmpty(),
+    maxOutputTokens = headers.get(TOKEN_COUNTS)?.substringAfter(',', "")?.trim()?.toIntOrNull()?.takeIf { it >= 0 },
 )
 
 private fun decodePart(text: String): PromptPart? {
--- a/src/main/kotlin/web/BodyPartJoiner.kt
+++ b/src/main/kotlin/web/BodyPartJoiner.kt
@@ -20,7 +20,7 @@
 /** The most that a round of an event loop reads from one connection. */
 internal const val MAX_READ_BYTES = 32 * 1024
 
-/** Makes each round of an event loop read at most [MAX_READ_BYTES] from a connection before the others get their turn. */
+/** Makes a round of an event loop read at most [MAX_READ_BYTES] from each connection, so that all get their turn. */
 internal fun boundedReads(): RecvByteBufAllocator =
     AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1)
 
--- a/src/main/kotlin/web/RequestConnection.kt
+++ b/src/main/kotlin/web/RequestConnection.kt
@@ -163,7 +163,9 @@
         )
         when {
             current == null -> begin(incoming)
+
             pipelined.size < MAX_PIPELINED_REQUESTS -> pipelined.addLast(incoming)
+
             else -> {
                 server.budget.release(incoming.body.size)
                 channel.close()
--- a/src/test/kotlin/front/EventSplitterSpec.kt
+++ b/src/test/kotlin/front/EventSplitterSpec.kt
@@ -32,6 +32,18 @@
             splitter.isTooLong shouldBe true
         }
 
+        // Guards against a target in trouble that keeps a stream open, and its host busy, with what is no event.
+        test("comments and blank lines without an event are too long at some point") {
+            for (filler in listOf("\n", "\r\n", ":\n", ": comment\n\n")) {
+                val splitter = splitterOf("id: 1\ndata: x\n\n")
+                val part = filler.repeat(64 * 1024 / filler.length)
+                repeat(4) { splitter.add(Unpooled.wrappedBuffer(part.toByteArray())) }
+                splitter.isTooLong shouldBe false
+                splitter.add(Unpooled.wrappedBuffer(part.toByteArray()))
+                splitter.isTooLong shouldBe true
+            }
+        }
+
         // Guards against CONFIG: a body in small chunks whose event never ends holds up the event loop for seconds.
         test("the cost of a byte does not grow with the bytes that wait for the end of their event") {
             val splitter = EventSplitter()
--- a/src/test/kotlin/front/TargetChecksSpec.kt
+++ b/src/test/kotlin/front/TargetChecksSpec.kt
@@ -41,7 +41,8 @@
                 }
             }
             val verdict = CompletableFuture<TargetVerdict>()
-            val checks = TargetChecks(ForwardClient(loop, systemClock()), loop) { _, found, _ -> verdict.complete(found) }
+            val checks =
+                TargetChecks(ForwardClient(loop, systemClock()), loop) { _, found, _ -> verdict.complete(found) }
             val address = "127.0.0.1:${server.localPort}"
             checks.start(TargetEntry("d0", "desk", address, "west", 1, isDraining = false, startTimeMs = 1), "/health")
             verdict.get(TIMEOUT_S, TimeUnit.SECONDS) shouldBe TargetVerdict.RUNS
