--- a/src/main/kotlin/front/EventSplitter.kt
+++ b/src/main/kotlin/front/EventSplitter.kt
@@ -27,10 +27,6 @@
     private var hasFields = false
     private var bytesSinceEvent = 0L
 
-    /** Number of events that have ended; blank lines and comments are none. */
-    var events = 0L
-        private set
-
     /** The last event id among the complete events; null before the first one. */
     var lastId: String? = null
         private set
@@ -92,7 +88,6 @@
         if (!hasFields) return
         id?.let { lastId = it }
         isResumable = id != null
-        events++
         bytesSinceEvent = 0
         id = null
         hasFields = false
