Close connections of the own HTTP client that receive data outside a call

Cause: an extra reply on an idle connection was read and dropped, so that what was left of it became the reply to the next call there.

Evidence: HttpClientSpec failed before: the reply to the second call had status 0 and the first bytes of its own head as the body.

--- a/src/main/kotlin/web/HttpClient.kt
+++ b/src/main/kotlin/web/HttpClient.kt
@@ -250,6 +250,10 @@
     }
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
+        if (listener == null) {
+            ctx.close() // data outside a call belongs to none, and more of it may follow
+            return
+        }
         if (message.decoderResult().isFailure) {
             breakOff("invalid reply: ${message.decoderResult().cause().message}")
             return
