--- a/src/test/kotlin/web/ClosingServerSpec.kt
+++ b/src/test/kotlin/web/ClosingServerSpec.kt
@@ -22,11 +22,6 @@
 private const val LARGE_BYTES = 64 * 1024 * 1024 // more than the buffers of the system take
 private val LIMITS = RequestLimits(idleTimeoutMs = 600_000)
 
-private fun Socket.write(text: String) = getOutputStream().run {
-    write(text.toByteArray())
-    flush()
-}
-
 class ClosingServerSpec :
     FunSpec({
         val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
--- a/src/test/kotlin/web/ConnectionTurnsSpec.kt
+++ b/src/test/kotlin/web/ConnectionTurnsSpec.kt
@@ -32,11 +32,6 @@
 private const val MAX_DELIVERIES = 200
 private const val HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
 
-private fun Socket.write(text: String) = getOutputStream().run {
-    write(text.toByteArray())
-    flush()
-}
-
 /** Counts what it receives. */
 private class CountingListener : ResponseListener {
     val isStarted = CompletableFuture<Unit>()
--- a/src/test/kotlin/web/ForwardSpec.kt
+++ b/src/test/kotlin/web/ForwardSpec.kt
@@ -41,21 +41,6 @@
     override fun close() = server.close()
 }
 
-private fun Socket.readHead(): String {
-    val head = StringBuilder()
-    while (!head.endsWith("\r\n\r\n")) {
-        val next = getInputStream().read()
-        if (next < 0) break
-        head.append(next.toChar())
-    }
-    return head.toString()
-}
-
-private fun Socket.write(text: String) = getOutputStream().run {
-    write(text.toByteArray())
-    flush()
-}
-
 private fun response(id: String, body: String) =
     "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\nContent-Length: ${body.length}\r\n\r\n$body"
 
--- a/src/test/kotlin/web/KeptConnectionsSpec.kt
+++ b/src/test/kotlin/web/KeptConnectionsSpec.kt
@@ -24,21 +24,6 @@
 private const val MAX_HELD_BYTES = 50L * 1024 * 1024
 private val LIMITS = RequestLimits(maxBodyBytes = 2 * BODY_BYTES, idleTimeoutMs = 600_000)
 
-private fun Socket.write(text: String) = getOutputStream().run {
-    write(text.toByteArray())
-    flush()
-}
-
-private fun Socket.readHead(): String {
-    val head = StringBuilder()
-    while (!head.endsWith("\r\n\r\n")) {
-        val next = getInputStream().read()
-        if (next < 0) break
-        head.append(next.toChar())
-    }
-    return head.toString()
-}
-
 @Suppress("ExplicitGarbageCollectionCall") // what is held is what is left after a collection
 private fun heapBytes(): Long {
     System.gc()
