--- a/src/main/kotlin/front/PeerClient.kt
+++ b/src/main/kotlin/front/PeerClient.kt
@@ -19,13 +19,22 @@
 private const val BROADCAST_PING_INTERVAL_MS = 1_000L // a connection may go silent without an error
 private const val RECENT_BROADCAST_MS = 2_000L
 
+/** Requests to other hosts. */
+internal interface PeerRequests {
+    /** Sends [request] to [host]; [onOutcome] is called on the control thread. */
+    fun request(host: String, request: ServingRequest, timeoutMs: Long, onOutcome: (PeerOutcome) -> Unit)
+
+    /** Sends [request] to [host] and ignores the outcome. */
+    fun send(host: String, request: ServingRequest)
+}
+
 internal class PeerClient(
     private val link: PeerLink,
     private val membership: Membership,
     private val controlLoop: ControlLoop,
     private val clock: Clock,
     private val log: DecisionLog,
-) {
+) : PeerRequests {
     private class PeerState {
         var pendingRequests = 0
         var missedPings = 0
@@ -47,8 +56,7 @@
     /** Whether [host] still answers pings; hosts that were not pinged count as responsive. */
     fun isResponsive(host: String): Boolean = states[host]?.isUnresponsive != true
 
-    /** Sends [request] to [host]; [onOutcome] is called on the control thread. */
-    fun request(host: String, request: ServingRequest, timeoutMs: Long, onOutcome: (PeerOutcome) -> Unit) {
+    override fun request(host: String, request: ServingRequest, timeoutMs: Long, onOutcome: (PeerOutcome) -> Unit) {
         val member = membership.member(host)
         if (member == null) {
             onOutcome(PeerOutcome.Failed(sent = false))
@@ -65,11 +73,11 @@
     }
 
     /**
-     * Sends [request] to [host] and ignores the outcome. The next periodic update makes up for a lost one. When a
+     * The next periodic update makes up for a lost message. When a
      * cancellation is lost, the job runs to its end and its outcome is ignored; when a request to free results is lost,
      * they stay on their target; when a report of fetched results is lost, they are not freed early.
      */
-    fun send(host: String, request: ServingRequest) = request(host, request, SEND_TIMEOUT_MS) {}
+    override fun send(host: String, request: ServingRequest) = request(host, request, SEND_TIMEOUT_MS) {}
 
     /** Sends [message] to [hosts] without replies. */
     fun broadcast(hosts: List<String>, message: ServingRequest) {
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -54,7 +54,7 @@
 internal class StageRouter(
     private val context: StageContext,
     private val targetClient: StageTargetClient,
-    private val peers: PeerClient,
+    private val peers: PeerRequests,
     private val clock: Clock,
     private val log: DecisionLog,
     private val onJobEnded: (String, JobOutcome) -> Unit,
@@ -77,6 +77,9 @@
     /** Number of pieces waiting in the queues of this host. */
     val waiting: Int get() = queues.values.sumOf { it.waiting }
 
+    /** Number of pieces of the pool [service] waiting in the queue of this host. */
+    fun waiting(service: String): Int = queues[service]?.waiting ?: 0
+
     /** Whether a queue of this host has pieces that wait or run. */
     val hasQueuedWork: Boolean get() = queues.values.any { it.waiting > 0 || it.calls > 0 }
 
