Try slow targets of a stage pool again

Cause: the ratio that marks a target as slow rises with an overdue call and fell only with answered ones, while a marked target got calls only when more pieces waited than all others could take. In a pool with a little spare time the mark stayed for good.

Ruled out: a trial as large as a usual call, which delays 52 pieces if the target still is slow.

Change: a slow target without a call for a second gets a small one, of a quarter of the pieces and the least urgent ones, when the others are busy; its time alone decides whether the mark stays.

--- a/src/main/kotlin/batching/CallBuilder.kt
+++ b/src/main/kotlin/batching/CallBuilder.kt
@@ -5,10 +5,14 @@
 
 import org.sesamerouter.serving.BatchSpec
 
-/** Assembles a call to a target with [availableBytes] of space for results. */
-internal class CallBuilder(private val spec: BatchSpec, private var availableBytes: Long) {
+/** Assembles a call of up to [maxPieces] pieces to a target with [availableBytes] of space for results. */
+internal class CallBuilder(
+    private val spec: BatchSpec,
+    private var availableBytes: Long,
+    private val maxPieces: Int = spec.maxPieces,
+) {
     val items = ArrayList<QueuedPiece>()
-    val remainingPieces: Int get() = spec.maxPieces - items.size
+    val remainingPieces: Int get() = maxPieces - items.size
 
     /** Whether a piece was left out because its result would not fit into the available space. */
     var isOutOfSpace = false
@@ -28,7 +32,7 @@
 
     /** A partial job takes space that others need, so a job is not split for lack of space unless it is too large. */
     private fun canSplit(job: QueuedJob, fitCount: Int): Boolean {
-        val isTooLarge = job.spec.pieces.size > spec.maxPieces ||
+        val isTooLarge = job.spec.pieces.size > maxPieces ||
             job.spec.pieces.size * job.spec.resultBytes > spec.resultSpaceBytes * USABLE_SPACE_SHARE
         return job.isStarted || isTooLarge || fitCount >= remainingPieces
     }
--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -12,9 +12,7 @@
 
 private const val MAX_ATTEMPTS = 4
 private const val FAILED_TARGET_BACKOFF_MS = 800L
-private const val SLOW_TARGET_RATIO = 1.8 // targets slower than this are used only when the others are full
 private const val OVERDUE_CALL_RATIO = 2.5 // a call this far over its expected time marks its target as slow
-private const val DURATION_RATIO_SMOOTHING = 0.4
 private const val EXCLUSIVE_TARGET_RATIO = 1.5 // a call queued behind another one takes about twice as long
 private const val OVERHEAD_SMOOTHING = 0.1 // adapts to a change within about 10 calls, a few seconds
 private const val CALL_TIMEOUT_FACTOR = 2.5 // a target that takes longer is treated as unresponsive
@@ -27,6 +25,7 @@
 private const val SMALL_CALL_DIVISOR = 3 // calls filled below a third waste most of their fixed time
 private const val LOCAL_TARGET_MAX_WAIT_MS = 400L // a longer wait costs more than a cross-data-centre transfer
 private const val LOCAL_TARGET_SLACK_MS = 150L
+private const val TRIAL_CALL_DIVISOR = 4 // of the pieces of a call; the trial of a target that is still slow delays few
 
 /** The batching queue of the pool [service]. Not thread-safe. */
 class PieceQueue(val service: String, private var spec: BatchSpec) {
@@ -35,6 +34,7 @@
         val items: List<QueuedPiece>,
         val startedMs: Long,
         val expectedMs: Double,
+        val isTrial: Boolean,
     ) {
         val mayWaitAtTarget = !target.isExclusive
     }
@@ -146,6 +146,7 @@
     fun onCallEnded(call: Long, outcome: CallOutcome, now: Long): List<PoolEffect> {
         val run = running.remove(call) ?: return emptyList()
         run.target.calls--
+        run.target.lastCallEndMs = now
         if (run.mayWaitAtTarget) run.items.forEach { it.job.possiblyQueuedPieces-- }
         when (outcome) {
             is CallOutcome.Answered -> onAnswered(run, outcome, now)
@@ -167,7 +168,7 @@
     fun onTick(now: Long): List<PoolEffect> {
         running.values.forEach { run ->
             val ratio = (now - run.startedMs) / run.expectedMs
-            if (ratio > OVERDUE_CALL_RATIO) run.target.durationRatio = maxOf(run.target.durationRatio, ratio)
+            if (ratio > OVERDUE_CALL_RATIO) run.target.onOverdue(ratio)
         }
         jobs.values.filter { it.hasUnreportedFetch(now) }.forEach { job ->
             job.areInputsReported = true
@@ -212,8 +213,8 @@
         val ratio = (now - run.startedMs) / run.expectedMs
         run.target.refusals = 0
         run.target.isExclusive = ratio <= EXCLUSIVE_TARGET_RATIO
-        run.target.durationRatio += DURATION_RATIO_SMOOTHING * (ratio - run.target.durationRatio)
-        if (ratio <= SLOW_TARGET_RATIO) {
+        run.target.onAnswered(ratio, run.isTrial)
+        if (!run.target.isSlow) {
             overheadMs =
                 maxOf(0.0, overheadMs + OVERHEAD_SMOOTHING * (now - run.startedMs - run.expectedMs - overheadMs))
         }
@@ -326,10 +327,11 @@
     /** Returns the targets that can take a call, best first. Slow ones are used only when the others would be full. */
     private fun freeTargets(now: Long): List<PoolTarget> {
         val available = availableTargets(now)
-        val normalCount = available.count { it.durationRatio <= SLOW_TARGET_RATIO }
+        val normalCount = available.count { !it.isSlow }
         val needsSlowTargets = normalCount == 0 || waiting > normalCount * spec.maxPieces
-        return available.filter { it.calls < spec.slots && (needsSlowTargets || it.durationRatio <= SLOW_TARGET_RATIO) }
-            .sortedWith(compareBy({ it.durationRatio > SLOW_TARGET_RATIO }, { it.usedBytes }))
+        return available
+            .filter { it.calls < spec.slots && (needsSlowTargets || !it.isSlow || it.isTrialDue(now)) }
+            .sortedWith(compareBy({ it.isSlow }, { it.usedBytes }))
     }
 
     /** Orders jobs for the next call. Started jobs come first: their partial results take space but are not usable. */
@@ -343,8 +345,10 @@
     }
 
     private fun nextItems(target: PoolTarget, order: List<QueuedJob>, now: Long): List<QueuedPiece> {
-        val call = CallBuilder(spec, target.freeBytes(spec, now))
-        for (job in order) {
+        val isTrial = target.isTrialDue(now)
+        val maxPieces = if (isTrial) maxOf(1, spec.maxPieces / TRIAL_CALL_DIVISOR) else spec.maxPieces
+        val call = CallBuilder(spec, target.freeBytes(spec, now), maxPieces)
+        for (job in if (isTrial) order.asReversed() else order) {
             if (call.remainingPieces == 0) break
             if (!shouldWaitForLocalTarget(job, target, now)) call.add(job)
         }
@@ -365,7 +369,7 @@
         val preferred = job.spec.dataCentre ?: return false
         if (preferred == target.entry.dataCentre || job.isStarted || waiting > spec.maxPieces) return false
         val local = availableTargets(now)
-            .filter { it.entry.dataCentre == preferred && it.durationRatio <= SLOW_TARGET_RATIO }
+            .filter { it.entry.dataCentre == preferred && !it.isSlow }
         val localFreeMs = local.minOfOrNull { freeAtMs(it, now) } ?: return false
         val isSoon = localFreeMs - now <= LOCAL_TARGET_MAX_WAIT_MS
         return isSoon && localFreeMs + spec.expectedMs(spec.maxPieces) + LOCAL_TARGET_SLACK_MS <= job.dueAtMs
@@ -384,6 +388,7 @@
     }
 
     private fun start(target: PoolTarget, items: List<QueuedPiece>, now: Long) {
+        val isTrial = target.isTrialDue(now)
         target.calls++
         items.forEach {
             it.job.waiting -= it
@@ -395,7 +400,7 @@
         waiting -= items.size
         val call = sequence++
         val expected = spec.expectedMs(items.size)
-        running[call] = RunningCall(target, items, now, expected)
+        running[call] = RunningCall(target, items, now, expected, isTrial)
         val callItems =
             items.map { CallItem(it.job.spec.request, it.job.spec.stage, it.piece, it.job.deadlineMs - now) }
         val callTimeoutMs =
--- a/src/main/kotlin/batching/PoolTarget.kt
+++ b/src/main/kotlin/batching/PoolTarget.kt
@@ -6,6 +6,9 @@
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.serving.BatchSpec
 
+private const val SLOW_RATIO = 1.8 // targets slower than this are used only when the others are full
+private const val DURATION_RATIO_SMOOTHING = 0.4
+private const val TRIAL_PAUSE_MS = 1_000L // a target that has recovered is in use again within twice this time
 private const val UNACCOUNTED_DECAY_MS = 1_000L // most results, also those of another owner, are read within this time
 private const val MIN_REFUSAL_BACKOFF_MS = 60L
 private const val MAX_REFUSAL_DOUBLINGS = 10
@@ -14,9 +17,13 @@
 internal class PoolTarget(var entry: TargetEntry) {
     var calls = 0
     var usedBytes = 0L
-    var durationRatio = 1.0
     var backoffUntilMs = 0L
     var isListed = true
+    var lastCallEndMs = Long.MIN_VALUE / 2
+
+    /** Smoothed ratio of the time of calls to their expected time. */
+    var durationRatio = 1.0
+        private set
 
     /** Number of calls that the target refused since the last one that it answered. */
     var refusals = 0
@@ -28,6 +35,22 @@
     private var unaccountedBytes = 0L
     private var unaccountedSinceMs = 0L
 
+    /** Whether the target is much slower than expected, so that it gets calls only if the others are full. */
+    val isSlow: Boolean get() = durationRatio > SLOW_RATIO
+
+    /** Whether the slow target gets a small call now that shows whether it still is: nothing else would. */
+    fun isTrialDue(now: Long): Boolean = isSlow && calls == 0 && now - lastCallEndMs >= TRIAL_PAUSE_MS
+
+    /** A call that is in progress has taken [ratio] times its expected time so far. */
+    fun onOverdue(ratio: Double) {
+        durationRatio = maxOf(durationRatio, ratio)
+    }
+
+    /** A call took [ratio] times its expected time. That of a trial says more than the calls before it. */
+    fun onAnswered(ratio: Double, isTrial: Boolean) {
+        durationRatio = if (isTrial) ratio else durationRatio + DURATION_RATIO_SMOOTHING * (ratio - durationRatio)
+    }
+
     /**
      * Counts a refusal and returns the time until the next call. It doubles up to the fixed time of a call, in which a
      * target that is full of another owner's calls gets a free place.
