Order the jobs of a queue in n log n, once for a change

Cause: each event of a queue, ticks included, ordered its jobs anew, and the exclusion of late jobs looked for the maximum of all scheduled ones each time: the square of the waiting jobs.

Ruled out: ordering less often only; a single decision then still takes as long.

Change: a heap finds the job to exclude; the order is kept until a change, reports use one of up to 0.1 s, and a queue that can start no call is looked at again after 20 ms or a change at a target. Targets marked as slow no longer count as free in the timeline while there are others.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -26,6 +26,8 @@
 private const val LOCAL_TARGET_MAX_WAIT_MS = 400L // a longer wait costs more than a cross-data-centre transfer
 private const val LOCAL_TARGET_SLACK_MS = 150L
 private const val TRIAL_CALL_DIVISOR = 4 // of the pieces of a call; the trial of a target that is still slow delays few
+private const val SCHEDULE_INTERVAL_MS = 100L // between the checks of which jobs can be in time
+private const val BLOCKED_RETRY_MS = 20L // without a change at a target, few submitted jobs make a call possible
 
 /** The batching queue of the pool [service]. Not thread-safe. */
 class PieceQueue(val service: String, private var spec: BatchSpec) {
@@ -53,6 +55,9 @@
     private val receivedHandles = ReceivedHandles()
     private val effects = ArrayList<PoolEffect>()
     private var sequence = 0L
+    private var schedule: Schedule? = null
+    private var nextScheduleMs = Long.MIN_VALUE
+    private var blockedUntilMs = Long.MIN_VALUE
 
     /** Smoothed time that calls to normal targets take beyond the expected time: fetching inputs and network delay. */
     private var overheadMs = 0.0
@@ -68,15 +73,22 @@
      * Estimates the completion time of a job submitted now, by rank and due time. Such a job waits for started jobs
      * and for jobs of the same or a higher priority that are due before it.
      */
-    fun expectedMs(now: Long): RankedTimes {
-        val (started, unstarted) = waitingJobs().partition { it.isStarted }
-        return timeline(now).expectedMs(started.sumOf { it.waiting.size }, unstarted, now)
-    }
+    fun expectedMs(now: Long): RankedTimes =
+        timeline(now).expectedMs(scheduleAt(now, SCHEDULE_INTERVAL_MS), now)
 
-    private fun waitingJobs() = jobs.values.filter { it.waiting.isNotEmpty() }
+    private fun timeline(now: Long): PoolTimeline {
+        val available = availableTargets(now)
+        val normal = available.filterNot { it.isSlow }.ifEmpty { available }
+        val runs = running.values.associateBy { it.target }
+        return PoolTimeline(spec, overheadMs, normal.map { freeAtMs(it, runs[it], now) }.sorted())
+    }
 
-    private fun timeline(now: Long) =
-        PoolTimeline(spec, overheadMs, availableTargets(now).map { freeAtMs(it, now) }.sorted())
+    /** Returns the order of the waiting jobs, made at most [maxAgeMs] ago or since the last change. */
+    private fun scheduleAt(now: Long, maxAgeMs: Long = 0): Schedule {
+        schedule?.let { if (now - it.madeAtMs <= maxAgeMs) return it }
+        val waitingJobs = jobs.values.filter { it.waiting.isNotEmpty() }
+        return timeline(now).schedule(waitingJobs, now).also { schedule = it }
+    }
 
     /** Applies changed limits of the pool. */
     fun update(spec: BatchSpec) {
@@ -96,7 +108,7 @@
             }
         }
         targets.values.removeIf { !it.isListed && it.calls == 0 && it.usedBytes == 0L }
-        return dispatch(now)
+        return dispatchAfterChange(now)
     }
 
     /** Enqueues the pieces of [job]. */
@@ -139,7 +151,7 @@
     fun onFreed(release: Long, now: Long): List<PoolEffect> {
         val freed = releases.remove(release) ?: return emptyList()
         freed.target.usedBytes -= freed.bytes
-        return dispatch(now)
+        return dispatchAfterChange(now)
     }
 
     /** Handles the completion of a call. */
@@ -161,7 +173,8 @@
                 requeue(run, now, ::retry)
             }
         }
-        return dispatch(now)
+        schedule = null
+        return dispatchAfterChange(now)
     }
 
     /** Runs the time-based checks. */
@@ -174,7 +187,10 @@
             job.areInputsReported = true
             effects += PoolEffect.InputsFetched(job.spec.pieces.flatMap { it.inputs }.distinct())
         }
-        updateUnschedulable(now)
+        if (now >= nextScheduleMs) {
+            nextScheduleMs = now + SCHEDULE_INTERVAL_MS
+            updateUnschedulable(now)
+        }
         jobs.values.filter {
             it.deadlineMs <= now || shouldDrop(it, now)
         }.forEach { end(it, JobOutcome(failure = JobFailure.LATE)) }
@@ -198,15 +214,13 @@
 
     /** Records since when each unstarted job cannot be finished in time because of other jobs. */
     private fun updateUnschedulable(now: Long) {
-        val (started, unstarted) = waitingJobs().partition { it.isStarted }
         if (waiting <= spec.maxPieces) {
-            unstarted.forEach { it.unschedulableSinceMs = null }
+            jobs.values.forEach { it.unschedulableSinceMs = null }
             return
         }
-        val schedulable = timeline(now).schedulableJobs(unstarted, started.sumOf { it.waiting.size })
-        unstarted.forEach { job ->
-            job.unschedulableSinceMs = if (job in schedulable) null else job.unschedulableSinceMs ?: now
-        }
+        val current = scheduleAt(now)
+        current.schedulable.forEach { it.unschedulableSinceMs = null }
+        current.excluded.forEach { it.unschedulableSinceMs = it.unschedulableSinceMs ?: now }
     }
 
     private fun onAnswered(run: RunningCall, outcome: CallOutcome.Answered, now: Long) {
@@ -282,6 +296,7 @@
         jobs.remove(job.spec.job)
         waiting -= job.waiting.size
         job.waiting.clear()
+        schedule = null
         release(job.handles.filterNotNull())
         effects += PoolEffect.Done(job.spec.job, outcome)
     }
@@ -298,10 +313,11 @@
     private fun enqueue(item: QueuedPiece) {
         item.job.waiting += item
         waiting++
+        schedule = null
     }
 
     private fun dispatch(now: Long): List<PoolEffect> {
-        while (waiting > 0 && startNextCall(now)) {
+        while (waiting > 0 && now >= blockedUntilMs && startNextCall(now)) {
             // Every started call changes the contents of the next one.
         }
         val result = effects.toList()
@@ -309,6 +325,12 @@
         return result
     }
 
+    /** A change at a target may make a call possible that was not before. */
+    private fun dispatchAfterChange(now: Long): List<PoolEffect> {
+        blockedUntilMs = Long.MIN_VALUE
+        return dispatch(now)
+    }
+
     private fun startNextCall(now: Long): Boolean {
         val free = freeTargets(now)
         if (free.isEmpty()) return false
@@ -319,6 +341,7 @@
             start(target, items, now)
             return true
         }
+        blockedUntilMs = now + BLOCKED_RETRY_MS
         return false
     }
 
@@ -336,12 +359,11 @@
 
     /** Orders jobs for the next call. Started jobs come first: their partial results take space but are not usable. */
     private fun jobOrder(now: Long): List<QueuedJob> {
-        val (started, unstarted) = waitingJobs().partition { it.isStarted }
-        val schedulable = timeline(now).schedulableJobs(unstarted, started.sumOf { it.waiting.size })
-        val late = unstarted.filter { it !in schedulable }
-            .sortedWith(compareBy({ it.spec.stagesLeft }, { it.spec.rank }, { it.sequence }))
-        val urgent = started.sortedBy { it.dueAtMs } + schedulable.sortedBy { it.dueAtMs }
-        return if (urgent.isEmpty() && !canStartLateJobs(late, now)) emptyList() else urgent + late
+        val current = scheduleAt(now)
+        val late = current.excluded
+        val hasUrgent = current.started.isNotEmpty() || current.schedulable.isNotEmpty()
+        if (!hasUrgent && !canStartLateJobs(late, now)) return emptyList()
+        return current.started + current.schedulable + late
     }
 
     private fun nextItems(target: PoolTarget, order: List<QueuedJob>, now: Long): List<QueuedPiece> {
@@ -370,7 +392,7 @@
         if (preferred == target.entry.dataCentre || job.isStarted || waiting > spec.maxPieces) return false
         val local = availableTargets(now)
             .filter { it.entry.dataCentre == preferred && !it.isSlow }
-        val localFreeMs = local.minOfOrNull { freeAtMs(it, now) } ?: return false
+        val localFreeMs = local.minOfOrNull { freeAtMs(it, runOf(it), now) } ?: return false
         val isSoon = localFreeMs - now <= LOCAL_TARGET_MAX_WAIT_MS
         return isSoon && localFreeMs + spec.expectedMs(spec.maxPieces) + LOCAL_TARGET_SLACK_MS <= job.dueAtMs
     }
@@ -382,8 +404,10 @@
             late.any { now - it.enqueuedAtMs >= LATE_JOB_START_DELAY_MS }
     }
 
-    private fun freeAtMs(target: PoolTarget, now: Long): Double {
-        val run = running.values.firstOrNull { it.target === target } ?: return now.toDouble()
+    private fun runOf(target: PoolTarget) = running.values.firstOrNull { it.target === target }
+
+    private fun freeAtMs(target: PoolTarget, run: RunningCall?, now: Long): Double {
+        if (run == null) return now.toDouble()
         return maxOf(now.toDouble(), run.startedMs + overheadMs + run.expectedMs * maxOf(1.0, target.durationRatio))
     }
 
@@ -398,6 +422,7 @@
             if (!target.isExclusive) it.job.possiblyQueuedPieces++
         }
         waiting -= items.size
+        schedule = null
         val call = sequence++
         val expected = spec.expectedMs(items.size)
         running[call] = RunningCall(target, items, now, expected, isTrial)
--- a/src/main/kotlin/batching/PoolTimeline.kt
+++ b/src/main/kotlin/batching/PoolTimeline.kt
@@ -4,10 +4,25 @@
 package org.sesamerouter.batching
 
 import org.sesamerouter.serving.BatchSpec
+import java.util.PriorityQueue
 
 private const val MAX_DUE_TIMES = 6 // finer steps would differ by less than one call
 private const val HIGHEST_RANK = -1
 
+/**
+ * The order of the waiting jobs of a queue at [madeAtMs].
+ *
+ * @property started jobs of which some pieces are running or finished, by due time.
+ * @property schedulable other jobs that can be finished in time, by due time.
+ * @property excluded the rest, in the order in which they fill unused capacity.
+ */
+internal class Schedule(
+    val started: List<QueuedJob>,
+    val schedulable: List<QueuedJob>,
+    val excluded: List<QueuedJob>,
+    val madeAtMs: Long,
+)
+
 /**
  * The expected availability of a pool's targets.
  *
@@ -20,33 +35,39 @@
     private val freeAtMs: List<Double>,
 ) {
     /**
-     * Returns the jobs of [queued] that can be finished in time after [piecesAhead] pieces. Jobs are scheduled by due
-     * time; whenever one would be late, the newest job of the lowest priority scheduled so far is excluded.
+     * Orders the [waiting] jobs. Unstarted jobs are scheduled by due time after the started ones; whenever one would be
+     * late, the newest job of the lowest priority scheduled so far is excluded. Takes time n log n for n jobs.
      */
-    fun schedulableJobs(queued: List<QueuedJob>, piecesAhead: Int): Set<QueuedJob> {
-        if (freeAtMs.isEmpty()) return emptySet()
-        val schedulable = LinkedHashSet<QueuedJob>()
-        var pieces = piecesAhead
-        for (job in queued.sortedBy { it.dueAtMs }) {
-            schedulable += job
+    fun schedule(waiting: List<QueuedJob>, now: Long): Schedule {
+        val (started, unstarted) = waiting.partition { it.isStarted }
+        val queued = unstarted.sortedBy { it.dueAtMs }
+        var pieces = started.sumOf { it.waiting.size }
+        val scheduled = PriorityQueue(compareByDescending<QueuedJob> { it.spec.rank }.thenByDescending { it.sequence })
+        val excluded = HashSet<QueuedJob>()
+        for (job in queued) {
+            scheduled += job
             pieces += job.waiting.size
-            if (finishAtMs(pieces) <= job.dueAtMs) continue
-            val excluded = schedulable.maxWith(compareBy({ it.spec.rank }, { it.sequence }))
-            schedulable -= excluded
-            pieces -= excluded.waiting.size
+            if (freeAtMs.isNotEmpty() && finishAtMs(pieces) <= job.dueAtMs) continue
+            val last = scheduled.remove()
+            excluded += last
+            pieces -= last.waiting.size
         }
-        return schedulable
+        return Schedule(
+            started.sortedBy { it.dueAtMs },
+            queued.filter { it !in excluded },
+            excluded.sortedWith(compareBy({ it.spec.stagesLeft }, { it.spec.rank }, { it.sequence })),
+            now,
+        )
     }
 
-    /** Estimates how long a new job takes after [startedPieces] and with the [queued] jobs, by rank and due time. */
-    fun expectedMs(startedPieces: Int, queued: List<QueuedJob>, now: Long): RankedTimes {
+    /** Estimates how long a new job takes with the jobs of [schedule] before it, by rank and due time. */
+    fun expectedMs(schedule: Schedule, now: Long): RankedTimes {
         if (freeAtMs.isEmpty()) return RankedTimes(emptyMap())
-        val piecesAhead = startedPieces + spec.maxPieces / 2 + 1
-        val schedulable = schedulableJobs(queued, startedPieces).sortedBy { it.dueAtMs }
+        val piecesAhead = schedule.started.sumOf { it.waiting.size } + spec.maxPieces / 2 + 1
         val times = HashMap<Int, List<DueTime>>()
         times[HIGHEST_RANK] = listOf(DueTime(0, finishAtMs(piecesAhead) - now))
-        for (rank in schedulable.map { it.spec.rank }.distinct()) {
-            times[rank] = dueTimes(schedulable.filter { it.spec.rank <= rank }, piecesAhead, now)
+        for (rank in schedule.schedulable.map { it.spec.rank }.distinct()) {
+            times[rank] = dueTimes(schedule.schedulable.filter { it.spec.rank <= rank }, piecesAhead, now)
         }
         return RankedTimes(times)
     }
