--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -58,6 +58,7 @@
     private var schedule: Schedule? = null
     private var nextScheduleMs = Long.MIN_VALUE
     private var blockedUntilMs = Long.MIN_VALUE
+    private val stops = StopDetector()
 
     /** Smoothed time that calls to normal targets take beyond the expected time: fetching inputs and network delay. */
     private var overheadMs = 0.0
@@ -69,6 +70,9 @@
     /** Number of calls in progress. */
     val calls: Int get() = running.size
 
+    /** Space in bytes that counts as used at all targets. */
+    val usedBytes: Long get() = targets.values.sumOf { it.usedBytes }
+
     /**
      * Estimates the completion time of a job submitted now, by rank and due time. Such a job waits for started jobs
      * and for jobs of the same or a higher priority that are due before it.
@@ -194,9 +198,23 @@
         jobs.values.filter {
             it.deadlineMs <= now || shouldDrop(it, now)
         }.forEach { end(it, JobOutcome(failure = JobFailure.LATE)) }
+        stops.onTick(waiting, now)
         return dispatch(now)
     }
 
+    /** Returns why this queue has started no call for a while though pieces wait, once a while; null if it has. */
+    fun takeStop(now: Long): QueueStop? = stops.take(now) { sinceCallMs ->
+        val listed = targets.values.filter { it.isListed }
+        QueueStop(
+            sinceCallMs,
+            listed.size,
+            busy = listed.count { it.calls >= spec.slots },
+            backingOff = listed.count { it.backoffUntilMs > now },
+            slow = listed.count { it.isSlow },
+            full = listed.count { it.freeBytes(spec, now) <= 0 },
+        )
+    }
+
     /**
      * Returns true for a late job that has not started for so long that it would only keep waiting. A job that other
      * jobs made unschedulable, and whose request has no completed work to lose, is dropped earlier so that its caller
@@ -423,6 +441,7 @@
         }
         waiting -= items.size
         schedule = null
+        stops.onCall(now)
         val call = sequence++
         val expected = spec.expectedMs(items.size)
         running[call] = RunningCall(target, items, now, expected, isTrial)
@@ -431,6 +450,7 @@
         val callTimeoutMs =
             (expected * maxOf(1.0, target.durationRatio) * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_MARGIN_MS).toLong()
         val timeoutMs = minOf(callTimeoutMs, callItems.maxOf { it.leftMs })
-        effects += PoolEffect.Call(call, target.entry, callItems, timeoutMs, target.usedBytes)
+        val oldestMs = now - items.minOf { it.job.enqueuedAtMs }
+        effects += PoolEffect.Call(call, target.entry, callItems, timeoutMs, target.usedBytes, oldestMs)
     }
 }
--- a/src/main/kotlin/batching/StageMessages.kt
+++ b/src/main/kotlin/batching/StageMessages.kt
@@ -96,13 +96,19 @@
 
 /** An action that the owner of a queue has to execute. */
 sealed interface PoolEffect {
-    /** Runs [items] at [target]; [usedBytes] is the space that its results use, including those of this call. */
+    /**
+     * Runs [items] at [target].
+     *
+     * @property usedBytes space that results at the target use, including those of this call.
+     * @property oldestMs time for which the oldest of the items has waited.
+     */
     data class Call(
         val call: Long,
         val target: TargetEntry,
         val items: List<CallItem>,
         val timeoutMs: Long,
         val usedBytes: Long,
+        val oldestMs: Long = 0,
     ) : PoolEffect
 
     /** Frees [handles]; pass [release] to [PieceQueue.onFreed] once the target has confirmed it. */
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -80,6 +80,9 @@
     /** Number of pieces of the pool [service] waiting in the queue of this host. */
     fun waiting(service: String): Int = queues[service]?.waiting ?: 0
 
+    /** Space in bytes that counts as used at the targets of this host's queues. */
+    val usedBytes: Long get() = queues.values.sumOf { it.usedBytes }
+
     /** Whether a queue of this host has pieces that wait or run. */
     val hasQueuedWork: Boolean get() = queues.values.any { it.waiting > 0 || it.calls > 0 }
 
@@ -166,11 +169,29 @@
 
     /** Advances the queues and sends the collected handles. */
     fun onTick(now: Long) {
-        queues.forEach { (service, queue) -> apply(service, queue.onTick(now)) }
+        queues.forEach { (service, queue) ->
+            apply(service, queue.onTick(now))
+            logStop(queue, now)
+        }
         if (delayedFrees.isNotEmpty()) startDelayedFrees(now)
         flush()
     }
 
+    private fun logStop(queue: PieceQueue, now: Long) {
+        val stop = queue.takeStop(now) ?: return
+        log.write(
+            "pool-stopped",
+            "service" to queue.service,
+            "waiting" to queue.waiting,
+            "no-call-ms" to stop.sinceCallMs,
+            "targets" to stop.targets,
+            "busy" to stop.busy,
+            "backing-off" to stop.backingOff,
+            "slow" to stop.slow,
+            "full" to stop.full,
+        )
+    }
+
     /** Applies changed targets or pool limits to the queues. */
     fun onTargets(now: Long) {
         for ((service, queue) in queues) {
@@ -357,6 +378,8 @@
             "target" to call.target.id,
             "pieces" to call.items.size,
             "waiting" to queues[service]?.waiting,
+            "oldest-ms" to call.oldestMs,
+            "used-bytes" to call.usedBytes,
             "requests" to call.items.map { it.request }.distinct().joinToString(","),
         )
         val maxConnections = context.config?.services?.get(service)?.maxConnections ?: 1
