Count the space of results so that the count heals

Cause: a queue counted a result as using space until it was told of the free. A lost message, a reply that crossed the end of its request or a request whose host ended left the space counted for good.

Ruled out: expiry alone; a request lasts up to 12 s, so an idle target that counts as full is asked for its free space too.

Change: a result is freed when its request has ended or its target has dropped it; a job whose reply was lost is cancelled with its results; a target that got no call for half a second for lack of space is asked, at most every 2 s, and its report corrects the count in both directions.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -13,7 +13,6 @@
 private const val MAX_ATTEMPTS = 4
 private const val FAILED_TARGET_BACKOFF_MS = 800L
 private const val OVERDUE_CALL_RATIO = 2.5 // a call this far over its expected time marks its target as slow
-private const val EXCLUSIVE_TARGET_RATIO = 1.5 // a call queued behind another one takes about twice as long
 private const val OVERHEAD_SMOOTHING = 0.1 // adapts to a change within about 10 calls, a few seconds
 private const val CALL_TIMEOUT_FACTOR = 2.5 // a target that takes longer is treated as unresponsive
 private const val CALL_TIMEOUT_MARGIN_MS = 400.0
@@ -41,17 +40,10 @@
         val mayWaitAtTarget = !target.isExclusive
     }
 
-    private class PendingRelease(val target: PoolTarget, val bytes: Long)
-
-    private class StoredResult(val target: PoolTarget, val bytes: Long) {
-        var isFetched = false
-    }
-
     private val targets = LinkedHashMap<String, PoolTarget>()
     private val jobs = HashMap<String, QueuedJob>()
     private val running = HashMap<Long, RunningCall>()
-    private val results = HashMap<String, StoredResult>()
-    private val releases = HashMap<Long, PendingRelease>()
+    private val results = StoredResults { sequence++ }
     private val receivedHandles = ReceivedHandles()
     private val effects = ArrayList<PoolEffect>()
     private var sequence = 0L
@@ -77,8 +69,7 @@
      * Estimates the completion time of a job submitted now, by rank and due time. Such a job waits for started jobs
      * and for jobs of the same or a higher priority that are due before it.
      */
-    fun expectedMs(now: Long): RankedTimes =
-        timeline(now).expectedMs(scheduleAt(now, SCHEDULE_INTERVAL_MS), now)
+    fun expectedMs(now: Long): RankedTimes = timeline(now).expectedMs(scheduleAt(now, SCHEDULE_INTERVAL_MS), now)
 
     private fun timeline(now: Long): PoolTimeline {
         val available = availableTargets(now)
@@ -117,6 +108,7 @@
 
     /** Enqueues the pieces of [job]. */
     fun submit(job: StageJob, now: Long): List<PoolEffect> {
+        jobs[job.job]?.let { end(it, JobOutcome(failure = JobFailure.CANCELLED)) }
         val added = QueuedJob(job, now, sequence++)
         jobs[job.job] = added
         job.pieces.indices.forEach { enqueue(QueuedPiece(added, it)) }
@@ -130,31 +122,43 @@
         return dispatch(now)
     }
 
-    /** Cancels the job [id]; pieces that are already running are completed and their results freed. */
+    /**
+     * Cancels the job [id]; pieces that are already running are completed and their results freed. If the job has
+     * ended, its results are freed: whoever submitted it has not received them.
+     */
     fun cancel(id: String, now: Long): List<PoolEffect> {
-        jobs[id]?.let { end(it, JobOutcome(failure = JobFailure.CANCELLED)) }
+        val job = jobs[id]
+        if (job != null) {
+            end(job, JobOutcome(failure = JobFailure.CANCELLED))
+        } else {
+            effects += results.release(results.handlesOf(id))
+        }
         return dispatch(now)
     }
 
     /** Frees results that are no longer needed; also returns the handles that are unknown to this queue. */
     fun free(handles: List<String>, now: Long): Pair<List<PoolEffect>, List<String>> {
         val (ownHandles, unknownHandles) = handles.partition { it in results }
-        release(ownHandles)
+        effects += results.release(ownHandles)
         return dispatch(now) to unknownHandles
     }
 
     /** Marks [handles] as probably fetched by their consumer; on targets short of space they are freed early. */
     fun onFetched(handles: List<String>, now: Long): List<PoolEffect> {
-        val known = handles.filter { it in results }
-        known.forEach { results.getValue(it).isFetched = true }
-        release(known.filter { results.getValue(it).target.usedBytes > spec.resultSpaceBytes * EARLY_FREE_USED_SHARE })
+        effects += results.onFetched(handles) { it.usedBytes > spec.resultSpaceBytes * EARLY_FREE_USED_SHARE }
         return dispatch(now)
     }
 
     /** Handles the confirmation that a target freed results; their space counts as used until then. */
     fun onFreed(release: Long, now: Long): List<PoolEffect> {
-        val freed = releases.remove(release) ?: return emptyList()
-        freed.target.usedBytes -= freed.bytes
+        results.onFreed(release)
+        return dispatchAfterChange(now)
+    }
+
+    /** Handles the report of the target [id], whose process started at [startTimeMs], that it has [freeBytes] left. */
+    fun onSpaceReport(id: String, startTimeMs: Long, freeBytes: Long, now: Long): List<PoolEffect> {
+        targets[id]?.takeIf { it.entry.startTimeMs == startTimeMs && it.calls == 0 }
+            ?.onSpaceReport(spec, freeBytes, now)
         return dispatchAfterChange(now)
     }
 
@@ -189,8 +193,10 @@
         }
         jobs.values.filter { it.hasUnreportedFetch(now) }.forEach { job ->
             job.areInputsReported = true
-            effects += PoolEffect.InputsFetched(job.spec.pieces.flatMap { it.inputs }.distinct())
+            val inputs = job.spec.pieces.flatMap { it.inputs }.distinct()
+            effects += PoolEffect.InputsFetched(inputs)
         }
+        effects += results.releaseExpired(now)
         if (now >= nextScheduleMs) {
             nextScheduleMs = now + SCHEDULE_INTERVAL_MS
             updateUnschedulable(now)
@@ -243,8 +249,6 @@
 
     private fun onAnswered(run: RunningCall, outcome: CallOutcome.Answered, now: Long) {
         val ratio = (now - run.startedMs) / run.expectedMs
-        run.target.refusals = 0
-        run.target.isExclusive = ratio <= EXCLUSIVE_TARGET_RATIO
         run.target.onAnswered(ratio, run.isTrial)
         if (!run.target.isSlow) {
             overheadMs =
@@ -254,15 +258,15 @@
     }
 
     private fun onItem(run: RunningCall, item: QueuedPiece, outcome: PieceOutcome, now: Long) {
-        val bytes = item.job.spec.resultBytes
+        val job = item.job.spec
         item.job.running--
         val isRepeated = outcome is PieceOutcome.Made && !receivedHandles.add(outcome.handle, now)
-        if (outcome !is PieceOutcome.Made || isRepeated) run.target.usedBytes -= bytes
+        if (outcome !is PieceOutcome.Made || isRepeated) run.target.release(job.resultBytes)
         when (outcome) {
             is PieceOutcome.Made -> if (isRepeated) {
                 retry(item) // a second copy of the reply to an earlier call, perhaps of another request
             } else {
-                results[outcome.handle] = StoredResult(run.target, bytes)
+                results.add(outcome.handle, run.target, job.resultBytes, job.job, item.job.resultsEndMs(now, spec))
                 onPieceMade(item, outcome.handle)
             }
 
@@ -282,7 +286,7 @@
     private fun onPieceMade(item: QueuedPiece, handle: String) {
         val job = item.job
         if (job.isEnded) {
-            release(listOf(handle))
+            effects += results.release(listOf(handle))
             return
         }
         job.handles[item.index] = handle
@@ -297,7 +301,7 @@
     private fun requeue(run: RunningCall, now: Long, enqueueAgain: (QueuedPiece) -> Unit) {
         run.items.forEach { item ->
             item.job.running--
-            run.target.usedBytes -= item.job.spec.resultBytes
+            run.target.release(item.job.spec.resultBytes)
             if (item.job.deadlineMs > now && !item.job.isEnded) enqueueAgain(item)
         }
     }
@@ -315,19 +319,10 @@
         waiting -= job.waiting.size
         job.waiting.clear()
         schedule = null
-        release(job.handles.filterNotNull())
+        effects += results.release(job.handles.filterNotNull())
         effects += PoolEffect.Done(job.spec.job, outcome)
     }
 
-    private fun release(handles: List<String>) {
-        val byTarget = handles.mapNotNull { h -> results.remove(h)?.let { it to h } }.groupBy({ it.first.target })
-        for ((target, freed) in byTarget) {
-            val id = sequence++
-            releases[id] = PendingRelease(target, freed.sumOf { it.first.bytes })
-            effects += PoolEffect.Free(id, target.entry, freed.map { it.second })
-        }
-    }
-
     private fun enqueue(item: QueuedPiece) {
         item.job.waiting += item
         waiting++
@@ -365,7 +360,7 @@
 
     private fun availableTargets(now: Long) = targets.values.filter { it.isListed && it.backoffUntilMs <= now }
 
-    /** Returns the targets that can take a call, best first. Slow ones are used only when the others would be full. */
+    /** Returns the targets that can take a call, best first. Slow ones are used when the others are full, or tried. */
     private fun freeTargets(now: Long): List<PoolTarget> {
         val available = availableTargets(now)
         val normalCount = available.count { !it.isSlow }
@@ -392,7 +387,10 @@
             if (call.remainingPieces == 0) break
             if (!shouldWaitForLocalTarget(job, target, now)) call.add(job)
         }
-        if (call.isOutOfSpace) release(results.filterValues { it.target === target && it.isFetched }.keys.toList())
+        if (call.isOutOfSpace) {
+            effects += results.releaseFetched(target)
+            if (target.mayAskSpace(now)) effects += PoolEffect.AskSpace(target.entry)
+        }
         return if (shouldWaitForSpace(call, target, order, now)) emptyList() else call.items
     }
 
@@ -408,8 +406,7 @@
     private fun shouldWaitForLocalTarget(job: QueuedJob, target: PoolTarget, now: Long): Boolean {
         val preferred = job.spec.dataCentre ?: return false
         if (preferred == target.entry.dataCentre || job.isStarted || waiting > spec.maxPieces) return false
-        val local = availableTargets(now)
-            .filter { it.entry.dataCentre == preferred && !it.isSlow }
+        val local = availableTargets(now).filter { it.entry.dataCentre == preferred && !it.isSlow }
         val localFreeMs = local.minOfOrNull { freeAtMs(it, runOf(it), now) } ?: return false
         val isSoon = localFreeMs - now <= LOCAL_TARGET_MAX_WAIT_MS
         return isSoon && localFreeMs + spec.expectedMs(spec.maxPieces) + LOCAL_TARGET_SLACK_MS <= job.dueAtMs
--- a/src/main/kotlin/batching/QueuedJob.kt
+++ b/src/main/kotlin/batching/QueuedJob.kt
@@ -3,6 +3,8 @@
  */
 package org.sesamerouter.batching
 
+import org.sesamerouter.serving.BatchSpec
+
 private const val INPUT_FETCH_MS = 60L // an idle target fetches the inputs of a call within a few ms
 
 internal class QueuedJob(val spec: StageJob, val enqueuedAtMs: Long, val sequence: Long) {
@@ -22,6 +24,10 @@
     var unschedulableSinceMs: Long? = null
     var areInputsReported = spec.pieces.all { it.inputs.isEmpty() }
 
+    /** When the results of a call that ended at [now] are gone or useless. */
+    fun resultsEndMs(now: Long, pool: BatchSpec): Long =
+        minOf(enqueuedAtMs + spec.resultLeftMs, now + pool.resultLifeMs)
+
     /** Whether the targets have probably fetched all inputs and this has not been reported yet. */
     fun hasUnreportedFetch(now: Long): Boolean =
         !areInputsReported && possiblyQueuedPieces == 0 && waiting.isEmpty() && running > 0 &&
--- a/src/main/kotlin/batching/StageMessages.kt
+++ b/src/main/kotlin/batching/StageMessages.kt
@@ -21,6 +21,7 @@
  * @property stagesLeft number of stages of the request that follow this one.
  * @property dataCentre the data centre that will probably read large results; null if the location does not matter.
  * @property hasCompletedStages whether other stages of the request are finished; their work is lost if this job fails.
+ * @property resultLeftMs time until the request ends, after which nobody needs the results.
  */
 @Serializable
 data class StageJob(
@@ -36,6 +37,7 @@
     val stagesLeft: Int = 0,
     val dataCentre: String? = null,
     @SerialName("hasWorkBehind") val hasCompletedStages: Boolean = false,
+    val resultLeftMs: Long = deadlineLeftMs,
 )
 
 /** The reason why a job ended without results. */
@@ -117,5 +119,8 @@
     /** Reports that targets have probably fetched [inputs], so the targets that hold them may free them if needed. */
     data class InputsFetched(val inputs: List<String>) : PoolEffect
 
+    /** Asks [target] for its free space; pass the reply to [PieceQueue.onSpaceReport]. */
+    data class AskSpace(val target: TargetEntry) : PoolEffect
+
     data class Done(val job: String, val outcome: JobOutcome) : PoolEffect
 }
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -185,6 +185,7 @@
         metrics.gauge("quarantine.parts.held") { quarantine.parts.heldBack }
         metrics.gauge("stage.waiting") { stages.waiting }
         metrics.gauge("stage.space.used.bytes") { stages.usedBytes }
+        metrics.gauge("stage.space.reports") { stages.spaceReports }
         metrics.gauge("targets.known") { directory.targets.size }
         metrics.gauge("members.live") { membership.live().size }
         metrics.gauge("configuration.version") { config?.version ?: -1 }
--- a/src/main/kotlin/front/StageCallAdapter.kt
+++ b/src/main/kotlin/front/StageCallAdapter.kt
@@ -16,7 +16,9 @@
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.host.ControlLoop
 import org.sesamerouter.platform.decodeResponseHead
+import org.sesamerouter.platform.decodeSpaceReport
 import org.sesamerouter.platform.decodeStageRun
+import org.sesamerouter.platform.encodeSpaceReport
 import org.sesamerouter.platform.encodeStageFree
 import org.sesamerouter.platform.encodeStageRun
 import org.sesamerouter.routing.TargetNotice
@@ -32,6 +34,7 @@
 private const val OK_STATUS = 200
 private const val MAX_REPLY_BYTES = 1024 * 1024
 private const val FREE_TIMEOUT_MS = 2_000L
+private const val REPORT_TIMEOUT_MS = 1_000L
 
 internal class StageCallAdapter(
     private val client: ForwardClient,
@@ -72,6 +75,14 @@
         reply.startTimeout(eventLoop, FREE_TIMEOUT_MS)
     }
 
+    override fun askSpace(target: TargetEntry, onReport: (Long?) -> Unit) = eventLoop.execute {
+        val reply = BufferedReply({ onNotice(target, it) }) { _, status, _, body ->
+            controlLoop.post { onReport(if (status == OK_STATUS) decodeSpaceReport(body) else null) }
+        }
+        reply.call = client.send(target.address, encodeSpaceReport(target), reply)
+        reply.startTimeout(eventLoop, REPORT_TIMEOUT_MS)
+    }
+
     private fun outcomeOf(call: PoolEffect.Call, status: Int, isNotRun: Boolean, body: String): CallOutcome = when {
         isNotRun -> CallOutcome.Refused
 
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -33,6 +33,9 @@
 
     /** Frees results; [onFreed] is called on the control thread after the reply or the timeout. */
     fun free(effect: PoolEffect.Free, onFreed: () -> Unit)
+
+    /** Asks [target] for its free space in bytes; [onReport] is called on the control thread, with null if it is unknown. */
+    fun askSpace(target: TargetEntry, onReport: (Long?) -> Unit)
 }
 
 /** Host state that [StageRouter] reads. */
@@ -83,6 +86,10 @@
     /** Space in bytes that counts as used at the targets of this host's queues. */
     val usedBytes: Long get() = queues.values.sumOf { it.usedBytes }
 
+    /** Number of times that a target was asked for its free space. */
+    var spaceReports = 0L
+        private set
+
     /** Whether a queue of this host has pieces that wait or run. */
     val hasQueuedWork: Boolean get() = queues.values.any { it.waiting > 0 || it.calls > 0 }
 
@@ -336,11 +343,21 @@
 
                 is PoolEffect.InputsFetched -> reportFetched(effect.inputs)
 
+                is PoolEffect.AskSpace -> askSpace(service, effect.target)
+
                 is PoolEffect.Done -> complete(effect.job, effect.outcome)
             }
         }
     }
 
+    private fun askSpace(service: String, target: TargetEntry) = targetClient.askSpace(target) { freeBytes ->
+        spaceReports++
+        val queue = queues[service]
+        log.write("space-report", "target" to target.id, "free-bytes" to freeBytes, "used-bytes" to queue?.usedBytes)
+        if (queue == null || freeBytes == null) return@askSpace
+        apply(service, queue.onSpaceReport(target.id, target.startTimeMs, freeBytes, clock.nowMs()))
+    }
+
     /** Frees results at their target, once a pause that the target asked for is over. */
     private fun freeAfterPause(effect: PoolEffect.Free, onFreed: () -> Unit) {
         val pauseLeftMs = context.pauseLeftMs(effect.target)
--- a/src/main/kotlin/platform/ConfigDecoder.kt
+++ b/src/main/kotlin/platform/ConfigDecoder.kt
@@ -24,6 +24,7 @@
 import org.sesamerouter.web.RequestLimits
 
 private const val BYTES_PER_MB = 1_000_000.0
+private const val MS_PER_S = 1_000.0
 private const val DEFAULT_RANK = 5
 private const val MAX_ADDRESS_BYTE = 255
 private const val MAX_PORT = 65_535
@@ -78,6 +79,7 @@
     @SerialName("call-ms") val callMs: Double = 0.0,
     @SerialName("item-ms") val itemMs: Double = 0.0,
     @SerialName("headroom-mb") val headroomMb: Double = 0.0,
+    @SerialName("handle-s") val handleS: Double = 60.0,
 )
 
 @Serializable
@@ -141,7 +143,10 @@
     healthPath,
     maxConns,
     // Despite its name, 'headroom' is the whole space for results.
-    pieces?.let { BatchSpec(it.slots, it.batch, it.callMs, it.itemMs, (it.headroomMb * BYTES_PER_MB).toLong()) },
+    pieces?.let {
+        val spaceBytes = (it.headroomMb * BYTES_PER_MB).toLong()
+        BatchSpec(it.slots, it.batch, it.callMs, it.itemMs, spaceBytes, (it.handleS * MS_PER_S).toLong())
+    },
     engine?.let { EngineSpec(it.slots, it.kvCapacity.toLong()) },
 )
 
--- a/src/main/kotlin/platform/StageCalls.kt
+++ b/src/main/kotlin/platform/StageCalls.kt
@@ -10,6 +10,8 @@
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.web.OutgoingRequest
 
+private const val BYTES_PER_MB = 1_000_000.0
+
 @Serializable
 private data class WireItem(
     val id: String,
@@ -29,6 +31,9 @@
 @Serializable
 private data class WirePieceResults(val items: List<WirePieceResult>)
 
+@Serializable
+private data class WireReport(@SerialName("free-mb") val freeMb: Double? = null)
+
 @Serializable
 private data class WireHandles(val handles: List<String>)
 
@@ -46,6 +51,16 @@
 fun encodeStageFree(target: TargetEntry, handles: List<String>): OutgoingRequest =
     post(target, "/v1/stage-free", platformJson.encodeToString(WireHandles.serializer(), WireHandles(handles)))
 
+/** Encodes the call that asks [target] for its free space. */
+fun encodeSpaceReport(target: TargetEntry): OutgoingRequest =
+    OutgoingRequest("GET", "/v1/report", encodeTargetCall(target.address, target.id), ByteArray(0))
+
+/** Decodes the reply to such a call into bytes; returns null if it tells no free space. */
+fun decodeSpaceReport(text: String): Long? {
+    val freeMb = decodeDocument(WireReport.serializer(), text)?.freeMb ?: return null
+    return (freeMb * BYTES_PER_MB).toLong().takeIf { freeMb.isFinite() && freeMb >= 0 }
+}
+
 private fun post(target: TargetEntry, uri: String, body: String) =
     OutgoingRequest("POST", uri, encodeTargetCall(target.address, target.id), body.toByteArray())
 
--- a/src/main/kotlin/serving/ServingConfig.kt
+++ b/src/main/kotlin/serving/ServingConfig.kt
@@ -5,6 +5,8 @@
 
 import org.sesamerouter.web.RequestLimits
 
+private const val DEFAULT_RESULT_LIFE_MS = 60_000L
+
 /** Whether requests of a route may be repeated or resumed. */
 enum class RouteKind { SAFE, UNSAFE, STREAM }
 
@@ -55,6 +57,7 @@
  * @property callMs fixed time of a call, excluding its pieces.
  * @property pieceMs approximate time that each piece adds.
  * @property resultSpaceBytes space for results.
+ * @property resultLifeMs time from the end of a call after which its results are gone.
  */
 data class BatchSpec(
     val slots: Int,
@@ -62,6 +65,7 @@
     val callMs: Double,
     val pieceMs: Double,
     val resultSpaceBytes: Long,
+    val resultLifeMs: Long = DEFAULT_RESULT_LIFE_MS,
 ) {
     /** Expected time of a call with [pieces]. */
     fun expectedMs(pieces: Int): Double = callMs + pieces * pieceMs
--- a/src/main/kotlin/serving/StageJobFactory.kt
+++ b/src/main/kotlin/serving/StageJobFactory.kt
@@ -37,6 +37,7 @@
             stagesLeft = flow.longestChainAfter(number),
             dataCentre = preferredDataCentre(flow, number, inputs, now),
             hasCompletedStages = flow.handles.any { it != null },
+            resultLeftMs = request.deadlineMs - now,
         )
     }
 
--- a/src/test/kotlin/batching/PoolModels.kt
+++ b/src/test/kotlin/batching/PoolModels.kt
@@ -166,7 +166,7 @@
                     execute(queue.onFreed(effect.release, now))
                 }
 
-                is PoolEffect.InputsFetched -> Unit
+                is PoolEffect.InputsFetched, is PoolEffect.AskSpace -> Unit
 
                 is PoolEffect.Done -> onDone(effect)
             }
@@ -252,7 +252,7 @@
 
                 is PoolEffect.Free -> execute(queues[host].onFreed(effect.release, now), host, now)
 
-                is PoolEffect.InputsFetched -> Unit
+                is PoolEffect.InputsFetched, is PoolEffect.AskSpace -> Unit
             }
         }
     }
--- a/src/test/kotlin/front/ModelTargets.kt
+++ b/src/test/kotlin/front/ModelTargets.kt
@@ -47,11 +47,7 @@
 
 /** The stage targets of all pools. */
 internal class ModelTargets(private val time: VirtualTime) {
-    private class WaitingCall(
-        val items: List<CallItem>,
-        val bytes: Map<Int, Long>,
-        val done: (CallOutcome) -> Unit,
-    )
+    private class WaitingCall(val items: List<CallItem>, val bytes: Map<Int, Long>, val done: (CallOutcome) -> Unit)
 
     private inner class Target(val entry: TargetEntry, val spec: BatchSpec) {
         val results = HashMap<String, Long>()
@@ -81,7 +77,8 @@
     fun idle(service: String): Int =
         targets.values.count { it.entry.service == service && !it.isWorking && it.calls.isEmpty() }
 
-    fun usedBytes(address: String): Long = targets.getValue(address).results.values.sum()
+    fun freeBytes(address: String): Long =
+        targets.getValue(address).let { it.spec.resultSpaceBytes - it.results.values.sum() }
 
     fun slowDown(service: String, slowness: Double) =
         targets.values.filter { it.entry.service == service }.forEach { it.slowness = slowness }
--- a/src/test/kotlin/front/StageFleet.kt
+++ b/src/test/kotlin/front/StageFleet.kt
@@ -172,6 +172,10 @@
             hosts.getValue(host).onRequest(request) { time.after(hopMs) { onOutcome(PeerOutcome.Replied(it)) } }
         }
 
+        override fun askSpace(target: TargetEntry, onReport: (Long?) -> Unit) = time.after(2 * TARGET_HOP_MS) {
+            onReport(targets.freeBytes(target.address))
+        }
+
         override fun send(host: String, request: ServingRequest) = request(host, request, 1_000) {}
 
         private fun onRequest(request: ServingRequest, reply: (StageReply) -> Unit) {
--- a/src/test/kotlin/front/StageRouterSpec.kt
+++ b/src/test/kotlin/front/StageRouterSpec.kt
@@ -83,6 +83,8 @@
         freed += effect.handles
     }
 
+    override fun askSpace(target: TargetEntry, onReport: (Long?) -> Unit) = onReport(null)
+
     fun leave(hasOtherHost: Boolean) {
         isLeaving = true
         this.hasOtherHost = hasOtherHost
