Do not take a pool whose owner is silent for an empty one

Cause: the expected times of a pool were dropped 2 s after the last report, and an empty queue was assumed.

Ruled out: a longer bound, which only delays the same.

Change: the last report stands until the next one. An idle owner reports its empty queue at once and then each second, so that its last backlog is forgotten.

--- a/src/main/kotlin/front/PoolTimes.kt
+++ b/src/main/kotlin/front/PoolTimes.kt
@@ -1,6 +1,6 @@
 /*
  * The expected times of stages in the pools, as this host measures them in its own queues and as other owners report
- * them.
+ * them. The last report stands until the next one: a pool whose owner is silent is not taken for an empty one.
  */
 package org.sesamerouter.front
 
@@ -9,14 +9,12 @@
 import org.sesamerouter.membership.PoolReport
 
 private const val OWN_TIMES_MS = 50L // a queue changes little within this time
-private const val REPORT_TTL_MS = 2_000L
 private const val IDLE_REPORT_INTERVAL_MS = 1_000L
 
 internal class PoolTimes {
     private class OwnTimes(val atMs: Long)
 
     private val times = HashMap<String, RankedTimes>()
-    private val knownMs = HashMap<String, Long>()
     private val own = HashMap<String, OwnTimes>()
     private val idleReportMs = HashMap<String, Long>()
 
@@ -26,12 +24,10 @@
         if (last != null && now - last.atMs < OWN_TIMES_MS && service in times) return
         own[service] = OwnTimes(now)
         times[service] = queue.expectedMs(now)
-        knownMs[service] = now
     }
 
     /** Expected time of a stage in [service] for a request of [rank] that is due in [dueMs]; null if none is known. */
-    fun of(service: String, rank: Int, dueMs: Long, now: Long): Double? =
-        times[service]?.takeIf { now - knownMs.getValue(service) < REPORT_TTL_MS }?.of(rank, dueMs)
+    fun of(service: String, rank: Int, dueMs: Long): Double? = times[service]?.of(rank, dueMs)
 
     /** Returns the report of [queue], which this host owns, for the other hosts; null if they know it well enough. */
     fun takeReport(queue: PieceQueue, now: Long): PoolReport? {
@@ -43,8 +39,7 @@
     }
 
     /** Stores the expected times that an owner reported. */
-    fun onReport(report: PoolReport, now: Long) {
-        knownMs[report.service] = now
+    fun onReport(report: PoolReport) {
         own.remove(report.service)
         times[report.service] = report.expectedMs
     }
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -312,7 +312,7 @@
         val now = clock.nowMs()
         val own = queues[service].takeIf { ownership.owns(service) }
         if (own != null) poolTimes.refresh(service, own, now)
-        return poolTimes.of(service, rank, dueMs, now) ?: unloadedStageMs(service)
+        return poolTimes.of(service, rank, dueMs) ?: unloadedStageMs(service)
     }
 
     /** Expected time of a stage in [service] with an empty queue. */
@@ -326,7 +326,7 @@
         ownership.ownTerms.mapNotNull { queues[it.pool] }.mapNotNull { poolTimes.takeReport(it, now) }
 
     /** Stores the expected times that an owner reported. */
-    fun onPoolReports(pools: List<PoolReport>) = pools.forEach { poolTimes.onReport(it, clock.nowMs()) }
+    fun onPoolReports(pools: List<PoolReport>) = pools.forEach(poolTimes::onReport)
 
     private fun assign(pending: PendingJob) {
         val now = clock.nowMs()
--- a/src/test/kotlin/front/StageRouterSpec.kt
+++ b/src/test/kotlin/front/StageRouterSpec.kt
@@ -10,10 +10,12 @@
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import org.sesamerouter.batching.CallOutcome
+import org.sesamerouter.batching.DueTime
 import org.sesamerouter.batching.JobFailure
 import org.sesamerouter.batching.Piece
 import org.sesamerouter.batching.PieceOutcome
 import org.sesamerouter.batching.PoolEffect
+import org.sesamerouter.batching.RankedTimes
 import org.sesamerouter.batching.StageJob
 import org.sesamerouter.clock.manualClock
 import org.sesamerouter.discovery.TargetEntry
@@ -22,6 +24,7 @@
 import org.sesamerouter.membership.MemberStatus
 import org.sesamerouter.membership.Membership
 import org.sesamerouter.membership.PeerLink
+import org.sesamerouter.membership.PoolReport
 import org.sesamerouter.serving.BatchSpec
 import org.sesamerouter.serving.ServiceSpec
 import org.sesamerouter.serving.ServingConfig
@@ -132,6 +135,15 @@
             pool.outcomes.shouldBeEmpty()
         }
 
+        // Guards against hosts that admit everything while the owner of a jammed queue is silent (incident SHORT).
+        test("a pool whose owner has become silent is not taken for an empty one") {
+            val pool = OwnedPool()
+            val times = RankedTimes(mapOf(0 to listOf(DueTime(0, 3_000.0))))
+            pool.router.onPoolReports(listOf(PoolReport(POOL, times)))
+            pool.clock.advance(30_000)
+            pool.router.expectedStageMs(POOL, 0, 2_000) shouldBe 3_000.0
+        }
+
         // Guards against results that count as used for good, since a reply crossed the end of its request (SHORT).
         test("a job that is cancelled after it has ended has its results freed") {
             val pool = OwnedPool()
