Let the hosts of the ownership model really suspect the owner

Cause: the model drew a suspicion from the first number of generators with neighbouring seeds, which are nearly equal, so no host suspected any other and the test of an owner that is suspected showed nothing. The negative control, which did not fail as it has to, told so.

Ruled out: a mistake of the control; with suspicions drawn from a hash it has more changes of owners than without doubt.

Change: suspicions follow from a hash of seed, host and time.

--- a/src/test/kotlin/ownership/OwnershipFleet.kt
+++ b/src/test/kotlin/ownership/OwnershipFleet.kt
@@ -6,6 +6,7 @@
 
 import org.sesamerouter.membership.Member
 import org.sesamerouter.membership.MemberStatus
+import org.sesamerouter.routing.rendezvous
 import java.util.PriorityQueue
 import java.util.Random
 
@@ -18,6 +19,9 @@
 
 internal val FLEET_POOLS = listOf("encode", "retrieve", "rerank")
 
+/** Returns a number from 0 to 1 that depends on [text] only. */
+private fun shareOf(text: String): Double = (rendezvous(text, "share") ushr 1).toDouble() / Long.MAX_VALUE
+
 /** Hosts of which [suspects] tells whether the first suspects the second at a time. */
 internal class OwnershipFleet(
     seed: Long,
@@ -194,7 +198,7 @@
     fun suspect(host: Host, untilMs: Long, seed: Long) {
         suspects = { from, about ->
             about == host.name && now < untilMs &&
-                Random(seed * 31 + from.hashCode() * 1_009L + now / SUSPICION_STEP_MS).nextDouble() < 0.4
+                shareOf("$seed $from ${now / SUSPICION_STEP_MS}") < 0.4
         }
     }
 
