Split the carrying out of ownership decisions from the stage router

Change: OwnershipAdapter carries out what QueueOwnership decides; QueuedJob tells whether it should be dropped. No change of behaviour.

--- a/src/main/kotlin/batching/PieceQueue.kt
+++ b/src/main/kotlin/batching/PieceQueue.kt
@@ -18,8 +18,6 @@
 private const val CALL_TIMEOUT_MARGIN_MS = 400.0
 private const val LATE_JOB_START_DELAY_MS = 250L // most late jobs fit into another call before this
 private const val EARLY_FREE_USED_SHARE = 0.35 // a full call uses up to two thirds of the space
-private const val LATE_JOB_TIMEOUT_MS = 1_500L // in a backlog, a job not started by then is unlikely to run
-private const val UNSCHEDULABLE_TIMEOUT_MS = 250L // 1/8 of the usual objectives; later is too late to reject
 private const val SPACE_MAX_WAIT_MS = 300L // results that take up the space are usually freed within this time
 private const val SMALL_CALL_DIVISOR = 3 // calls filled below a third waste most of their fixed time
 private const val LOCAL_TARGET_MAX_WAIT_MS = 400L // a longer wait costs more than a cross-data-centre transfer
@@ -204,7 +202,7 @@
             updateUnschedulable(now)
         }
         jobs.values.filter {
-            it.deadlineMs <= now || shouldDrop(it, now)
+            it.deadlineMs <= now || it.shouldDrop(now, spec)
         }.forEach { end(it, JobOutcome(failure = JobFailure.LATE)) }
         stops.onTick(waiting, now)
         return dispatch(now)
@@ -223,21 +221,6 @@
         )
     }
 
-    /**
-     * Returns true for a late job that has not started for so long that it would only keep waiting. A job that other
-     * jobs made unschedulable, and whose request has no completed work to lose, is dropped earlier so that its caller
-     * is informed early.
-     */
-    private fun shouldDrop(job: QueuedJob, now: Long): Boolean {
-        if (job.isStarted) return false
-        val sinceMs = job.unschedulableSinceMs
-        val wasFeasible = job.spec.objectiveLeftMs >= spec.expectedMs(spec.maxPieces)
-        if (sinceMs != null && wasFeasible && !job.spec.hasCompletedStages) {
-            return now - sinceMs >= UNSCHEDULABLE_TIMEOUT_MS
-        }
-        return now > job.dueAtMs && now - job.enqueuedAtMs >= LATE_JOB_TIMEOUT_MS
-    }
-
     /** Records since when each unstarted job cannot be finished in time because of other jobs. */
     private fun updateUnschedulable(now: Long) {
         if (waiting <= spec.maxPieces) {
@@ -332,7 +315,7 @@
     }
 
     private fun dispatch(now: Long): List<PoolEffect> {
-        while (waiting > 0 && !isSuspended && now >= blockedUntilMs && startNextCall(now)) {
+        while (mayStartCalls(now) && startNextCall(now)) {
             // Every started call changes the contents of the next one.
         }
         val result = effects.toList()
@@ -340,6 +323,8 @@
         return result
     }
 
+    private fun mayStartCalls(now: Long) = waiting > 0 && !isSuspended && now >= blockedUntilMs
+
     /** A change at a target may make a call possible that was not before. */
     private fun dispatchAfterChange(now: Long): List<PoolEffect> {
         blockedUntilMs = Long.MIN_VALUE
--- a/src/main/kotlin/batching/QueuedJob.kt
+++ b/src/main/kotlin/batching/QueuedJob.kt
@@ -5,6 +5,8 @@
 
 import org.sesamerouter.serving.BatchSpec
 
+private const val LATE_JOB_TIMEOUT_MS = 1_500L // in a backlog, a job not started by then is unlikely to run
+private const val UNSCHEDULABLE_TIMEOUT_MS = 250L // 1/8 of the usual objectives; later is too late to reject
 private const val INPUT_FETCH_MS = 60L // an idle target fetches the inputs of a call within a few ms
 
 internal class QueuedJob(val spec: StageJob, val enqueuedAtMs: Long, val sequence: Long) {
@@ -24,6 +26,19 @@
     var unschedulableSinceMs: Long? = null
     var areInputsReported = spec.pieces.all { it.inputs.isEmpty() }
 
+    /**
+     * Returns true for a late job that has not started for so long that it would only keep waiting. A job that other
+     * jobs made unschedulable, and whose request has no completed work to lose, is dropped earlier so that its caller
+     * is informed early.
+     */
+    fun shouldDrop(now: Long, pool: BatchSpec): Boolean {
+        if (isStarted) return false
+        val sinceMs = unschedulableSinceMs
+        val wasFeasible = spec.objectiveLeftMs >= pool.expectedMs(pool.maxPieces)
+        if (sinceMs != null && wasFeasible && !spec.hasCompletedStages) return now - sinceMs >= UNSCHEDULABLE_TIMEOUT_MS
+        return now > dueAtMs && now - enqueuedAtMs >= LATE_JOB_TIMEOUT_MS
+    }
+
     /** When the results of a call that ended at [now] are gone or useless. */
     fun resultsEndMs(now: Long, pool: BatchSpec): Long =
         minOf(enqueuedAtMs + spec.resultLeftMs, now + pool.resultLifeMs)
--- a/src/main/kotlin/batching/StoredResults.kt
+++ b/src/main/kotlin/batching/StoredResults.kt
@@ -1,7 +1,7 @@
 /*
- * The results that the calls of one queue made, with the space that they take up at their targets. A result counts until
- * its target has freed it; it is freed when its request has ended at the latest, so that a lost message about it does
- * not take up space for good.
+ * The results that the calls of one queue made, with the space that they take up at their targets. A result counts
+ * until its target has freed it; it is freed when its request has ended at the latest, so that a lost message about it
+ * does not take up space for good.
  */
 package org.sesamerouter.batching
 
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -188,8 +188,8 @@
         metrics.gauge("quarantine.parts") { quarantine.parts.size }
         metrics.gauge("quarantine.parts.held") { quarantine.parts.heldBack }
         metrics.gauge("stage.waiting") { stages.waiting }
-        metrics.gauge("stage.queues.owned") { stages.ownTerms.size }
-        metrics.gauge("stage.owner.changes") { stages.ownerChanges }
+        metrics.gauge("stage.queues.owned") { stages.owners.ownTerms.size }
+        metrics.gauge("stage.owner.changes") { stages.owners.changes }
         metrics.gauge("stage.space.used.bytes") { stages.usedBytes }
         metrics.gauge("stage.space.reports") { stages.spaceReports }
         metrics.gauge("targets.known") { directory.targets.size }
@@ -277,12 +277,12 @@
         val version = config?.version ?: -1
         val changed = membership.self.ready != ready || membership.self.revision != version
         if (changed) membership.updateSelf(disseminate = true) { it.copy(ready = ready, revision = version) }
-        val state = Triple(membership.changes, peers.changes, stages.ownerChanges)
+        val state = Triple(membership.changes, peers.changes, stages.owners.changes)
         if (state == publishedState) return
         publishedState = state
         logMemberChanges()
         val usable = owners().filter { it.ready && !it.leaving }
-        val queueOwners = stages.terms.map { it.host }.toSet()
+        val queueOwners = stages.owners.terms.map { it.host }.toSet()
         val others = usable.filter { it.host !in queueOwners }
         addresses = (if (others.size >= MIN_HOSTS_FOR_CALLERS) others else usable).map { it.http }.sorted()
     }
--- a/src/main/kotlin/front/PeerClient.kt
+++ b/src/main/kotlin/front/PeerClient.kt
@@ -38,7 +38,7 @@
     /** Asks [host] for any answer; [onResult] gets the result and the terms that [host] knows. */
     fun probe(host: String, onResult: (ProbeResult, List<OwnerTerm>) -> Unit)
 
-    /** Asks [witness] whether the owner of [term] answers it; [onReply] gets that and the terms that [witness] knows. */
+    /** Asks [witness] whether the owner of [term] answers; [onReply] gets that and the terms that [witness] knows. */
     fun askOwner(witness: String, term: OwnerTerm, onReply: (isAnswering: Boolean, terms: List<OwnerTerm>) -> Unit)
 
     /** Announces [term] to all hosts. */
--- a/src/main/kotlin/front/PeerUpdateAdapter.kt
+++ b/src/main/kotlin/front/PeerUpdateAdapter.kt
@@ -66,10 +66,12 @@
         when (request) {
             is ServingRequest.RunStage -> host.stages.runRemote(request.job, request.term, request.isRelayed, reply)
 
-            is ServingRequest.Owner -> host.stages.learn(listOf(request.term), request.term.host)
+            is ServingRequest.Owner -> host.stages.owners.learn(listOf(request.term), request.term.host)
 
             is ServingRequest.CheckOwner ->
-                host.stages.checkOwner(request.term) { isAnswering, terms -> reply(OwnerChecked(isAnswering, terms)) }
+                host.stages.owners.checkOwner(request.term) { isAnswering, terms ->
+                    reply(OwnerChecked(isAnswering, terms))
+                }
 
             is ServingRequest.CancelStage -> {
                 host.stages.cancelLocal(request.service, request.job)
@@ -92,7 +94,7 @@
 
             ServingRequest.State -> reply(currentState())
 
-            ServingRequest.Ping -> reply(Pong(host.stages.terms))
+            ServingRequest.Ping -> reply(Pong(host.stages.owners.terms))
 
             is PeerRequest.Deaths -> {
                 request.notices.forEach { host.quarantine.onDeath(it, host.clock.nowMs()) }
@@ -203,7 +205,7 @@
             pendingDelta,
             pendingSoundParts,
             pendingHeldParts,
-            host.stages.ownTerms,
+            host.stages.owners.ownTerms,
         )
         val hasState = update.read != null || update.engines.isNotEmpty() || update.pools.isNotEmpty()
         val isUnchanged = !hasState && !update.isUrgent && version() == sentVersion
@@ -266,7 +268,7 @@
         host.quarantine.parts.onSound(update.soundParts, isOwn = false)
         update.heldParts.forEach { host.quarantine.parts.onHeld(it, now) }
         host.engines.onReports(update.from, update.engines, now)
-        host.stages.learn(update.terms, update.from)
+        host.stages.owners.learn(update.terms, update.from)
         host.stages.onPoolReports(update.pools)
         host.lag.onAnnounced(update.configVersion, update.configAgeMs, now)
         update.configDelta?.let { host.configuration.onDelta(update.from, it) }
@@ -294,7 +296,7 @@
             state.read?.let { if (isLackingTargets(it)) host.onTargets(it, state.readAgeMs, isLocalRead = false) }
             state.leaving.forEach { host.onLeaving(it, isLocal = false) }
             state.heldParts.forEach { host.quarantine.parts.onHeld(it, host.clock.nowMs()) }
-            host.stages.learn(state.terms, from)
+            host.stages.owners.learn(state.terms, from)
         }
     }
 
@@ -313,6 +315,6 @@
         val read = host.directory.snapshot()
         val ageMs = host.clock.nowMs() - host.directory.lastContiguousReadMs
         val heldParts = host.quarantine.parts.heldParts(host.clock.nowMs())
-        return StateReply(read, ageMs, host.directory.leaving, heldParts, host.stages.terms)
+        return StateReply(read, ageMs, host.directory.leaving, heldParts, host.stages.owners.terms)
     }
 }
--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -37,7 +37,7 @@
     /** Frees results; [onFreed] is called on the control thread after the reply or the timeout. */
     fun free(effect: PoolEffect.Free, onFreed: () -> Unit)
 
-    /** Asks [target] for its free space in bytes; [onReport] is called on the control thread, with null if it is unknown. */
+    /** Asks [target] for its free space in bytes; [onReport] gets it, or null, on the control thread. */
     fun askSpace(target: TargetEntry, onReport: (Long?) -> Unit)
 }
 
@@ -74,6 +74,9 @@
     private val queues = HashMap<String, PieceQueue>()
     private val repliesToRemoteJobs = HashMap<String, (StageReply) -> Unit>()
     private val ownership = QueueOwnership(context, random)
+
+    /** Learns of terms from other hosts, and checks owners for them. */
+    val owners = OwnershipAdapter(ownership, context, peers, clock, log, ::onOwnerChanged)
     private val poolTimes = PoolTimes()
     private val frees = ResultFrees(context, targetClient, peers, clock, ::freeInQueue)
 
@@ -96,16 +99,6 @@
     /** Number of jobs of other hosts in the queues of this one. */
     val remoteJobs: Int get() = repliesToRemoteJobs.size
 
-    /** The terms of the owners of queues as this host knows them. */
-    val terms: List<OwnerTerm> get() = ownership.terms
-
-    /** The terms of this host. */
-    val ownTerms: List<OwnerTerm> get() = ownership.ownTerms
-
-    /** Number of times that the terms in force have changed here. */
-    var ownerChanges = 0L
-        private set
-
     /** Submits a job of this host to the owner of its queue. */
     fun submit(job: StageJob) {
         val makers = job.pieces.firstOrNull()?.inputs.orEmpty().mapNotNull(frees::countedAt).distinct()
@@ -135,8 +128,8 @@
      * the job with the term in force, or, if it [isRelayed] since its sender cannot reach the owner, passes it on.
      */
     fun runRemote(job: StageJob, term: OwnerTerm? = null, isRelayed: Boolean = false, reply: (StageReply) -> Unit) {
-        term?.let { learn(listOf(it), "a job of another host") }
-        execute(ownership.onJob(job.service, clock.nowMs()))
+        term?.let { owners.learn(listOf(it), "a job of another host") }
+        owners.execute(ownership.onJob(job.service, clock.nowMs()))
         val known = ownership.termOf(job.service)
         when {
             ownership.owns(job.service) -> {
@@ -200,7 +193,7 @@
     /** Advances the queues, decides about their owners and sends the collected handles. */
     fun onTick(now: Long) {
         val pools = context.config?.services.orEmpty().values.filter { it.batch != null }.map { it.name }
-        execute(ownership.onTick(pools, now))
+        owners.execute(ownership.onTick(pools, now))
         queues.forEach { (service, queue) ->
             queue.isSuspended = !ownership.mayCall(service, now)
             apply(service, queue.onTick(now))
@@ -234,54 +227,10 @@
         }
     }
 
-    /** Learns of [terms] from [source]. */
-    fun learn(terms: List<OwnerTerm>, source: String) =
-        terms.forEach { execute(ownership.onTerm(it, source, clock.nowMs())) }
-
-    /** Checks for another host whether the owner of [term] answers this one. */
-    fun checkOwner(term: OwnerTerm, reply: (isAnswering: Boolean, terms: List<OwnerTerm>) -> Unit) {
-        if (term.host == context.self.host) return reply(ownership.owns(term.pool), terms)
-        peers.probe(term.host) { result, known ->
-            learn(known, term.host)
-            reply(result == ProbeResult.ANSWERED, terms)
-        }
-    }
-
-    private fun execute(effects: List<OwnershipEffect>) {
-        for (effect in effects) {
-            when (effect) {
-                is OwnershipEffect.Changed -> onOwnerChanged(effect)
-
-                is OwnershipEffect.Probe -> probe(effect.host)
-
-                is OwnershipEffect.Ask -> ask(effect)
-
-                is OwnershipEffect.Kept -> log.write(
-                    "pool-owner-kept",
-                    "service" to effect.term.pool,
-                    "term" to effect.term.number,
-                    "owner" to effect.term.host,
-                    "why" to effect.why,
-                )
-            }
-        }
-    }
-
     private fun onOwnerChanged(change: OwnershipEffect.Changed) {
-        val (term, previous, why) = change
-        ownerChanges++
-        log.write(
-            "pool-owner",
-            "service" to term.pool,
-            "term" to term.number,
-            "owner" to term.host,
-            "was" to previous?.host,
-            "own" to ownership.owns(term.pool),
-            "why" to why,
-        )
+        val (term, previous) = change
         val now = clock.nowMs()
         val own = context.self.host
-        if (ownership.owns(term.pool) || previous?.host == own) peers.announce(term)
         val queue = queues[term.pool]
         queue?.isSuspended = !ownership.mayCall(term.pool, now)
         if (queue != null && !ownership.owns(term.pool)) apply(term.pool, queue.returnWaitingJobs(now))
@@ -290,23 +239,6 @@
             .forEach(::assign)
     }
 
-    private fun probe(host: String) {
-        val sentMs = clock.nowMs()
-        peers.probe(host) { result, known ->
-            learn(known, host)
-            when (result) {
-                ProbeResult.ANSWERED -> ownership.onAnswer(host, sentMs, clock.nowMs())
-                ProbeResult.REFUSED -> execute(ownership.onNoAnswer(host, clock.nowMs()))
-                ProbeResult.SILENT -> Unit
-            }
-        }
-    }
-
-    private fun ask(effect: OwnershipEffect.Ask) = peers.askOwner(effect.witness, effect.term) { isAnswering, known ->
-        learn(known, effect.witness)
-        execute(ownership.onWitness(effect.witness, effect.term, isAnswering, clock.nowMs()))
-    }
-
     /** Expected time of a stage in [service] with its queue, for a request of [rank] that needs it done in [dueMs]. */
     fun expectedStageMs(service: String, rank: Int, dueMs: Long): Double {
         val now = clock.nowMs()
@@ -345,7 +277,7 @@
         val own = context.self.host
         val owner = ownership.ownerOf(job.service) ?: own
         if (owner == own) {
-            execute(ownership.onJob(job.service, now))
+            owners.execute(ownership.onJob(job.service, now))
             pending.owner = own
             submitLocal(job)
         } else {
@@ -368,7 +300,7 @@
         val job = pending.job
         val reply = (outcome as? PeerOutcome.Replied)?.reply as? StageReply
         val before = ownership.termOf(job.service)
-        reply?.term?.let { learn(listOf(it), "the reply to a job") }
+        reply?.term?.let { owners.learn(listOf(it), "the reply to a job") }
         reply?.maker?.let { frees.onMade(reply.outcome.handles, it) }
         if (pendingJobs[job.job] !== pending || pending.attempt != attempt) {
             // The request has ended, or another owner runs the job: nobody will free these results.
@@ -421,7 +353,7 @@
         onJobEnded(job, outcome)
     }
 
-    /** Handles the end of a job in the queue of this host; one of this host that another owner runs now is forgotten. */
+    /** Handles the end of a job in a queue of this host. The results of one that another owner runs now are freed. */
     private fun onJobDone(service: String, done: PoolEffect.Done) {
         val pending = pendingJobs[done.job]
         val isForgotten = done.job !in repliesToRemoteJobs && pending?.owner != context.self.host
@@ -431,7 +363,7 @@
     /** Starts the shutdown: the queues of this host, with the jobs that wait in them, go to other hosts. */
     fun leave() {
         val now = clock.nowMs()
-        ownership.ownTerms.forEach { execute(ownership.handOver(it.pool, "owner leaving", now)) }
+        ownership.ownTerms.forEach { owners.execute(ownership.handOver(it.pool, "owner leaving", now)) }
     }
 
     /** Returns the jobs of other hosts that have not ended, at the end of a shutdown, and cancels them here. */
--- a/src/test/kotlin/front/StageFleet.kt
+++ b/src/test/kotlin/front/StageFleet.kt
@@ -189,18 +189,18 @@
         override fun isResponsive(host: String) = true
 
         override fun probe(host: String, onResult: (ProbeResult, List<OwnerTerm>) -> Unit) = time.after(2 * hopMs) {
-            onResult(ProbeResult.ANSWERED, hosts.getValue(host).router.terms)
+            onResult(ProbeResult.ANSWERED, hosts.getValue(host).router.owners.terms)
         }
 
         override fun askOwner(witness: String, term: OwnerTerm, onReply: (Boolean, List<OwnerTerm>) -> Unit) =
             time.after(hopMs) {
-                hosts.getValue(witness).router.checkOwner(term) { isAnswering, terms ->
+                hosts.getValue(witness).router.owners.checkOwner(term) { isAnswering, terms ->
                     time.after(hopMs) { onReply(isAnswering, terms) }
                 }
             }
 
         override fun announce(term: OwnerTerm) = hosts.values.filter { it !== this }.forEach { host ->
-            time.after(hopMs) { host.router.learn(listOf(term), self.host) }
+            time.after(hopMs) { host.router.owners.learn(listOf(term), self.host) }
         }
 
         private fun onRequest(request: ServingRequest, reply: (StageReply) -> Unit) {
