Count only answers to probes sent since a pause as leave to call

Cause: a datagram answered a probe. One that was sent before a pause of the owner, and lay in its socket meanwhile, was taken for an answer after it, so an owner whose term had ended could start calls; the later answer with the terms was dropped. A host that leaves could also take over a queue whose owner had ended, for a job that reached it.

Ruled out: probes without datagrams; a connection may go silent while its host works.

Change: a datagram only says that a host was heard of; leave to call needs the reply to the probe, with the terms, or a witness of a check that runs. A host that leaves takes over only if all others leave too.

--- a/src/main/kotlin/front/OwnershipAdapter.kt
+++ b/src/main/kotlin/front/OwnershipAdapter.kt
@@ -36,9 +36,12 @@
     /** Checks for another host whether the owner of [term] answers this one. */
     fun checkOwner(term: OwnerTerm, reply: (isAnswering: Boolean, terms: List<OwnerTerm>) -> Unit) {
         if (term.host == view.self.host) return reply(ownership.owns(term.pool), terms)
+        var isReplied = false
         peers.probe(term.host) { result, known ->
             learn(known, term.host)
-            reply(result == ProbeResult.ANSWERED, terms)
+            val isAnswering = result == ProbeResult.ANSWERED || result == ProbeResult.HEARD
+            if (!isReplied) reply(isAnswering, terms)
+            isReplied = true
         }
     }
 
@@ -76,6 +79,7 @@
             learn(known, host)
             when (result) {
                 ProbeResult.ANSWERED -> ownership.onAnswer(host, sentMs, clock.nowMs())
+                ProbeResult.HEARD -> ownership.onHeard(host, clock.nowMs())
                 ProbeResult.REFUSED -> execute(ownership.onNoAnswer(host, clock.nowMs()))
                 ProbeResult.SILENT -> Unit
             }
--- a/src/main/kotlin/front/PeerClient.kt
+++ b/src/main/kotlin/front/PeerClient.kt
@@ -35,7 +35,10 @@
     /** Whether [host] still answers pings; hosts that were not pinged count as responsive. */
     fun isResponsive(host: String): Boolean
 
-    /** Asks [host] for any answer; [onResult] gets the result and the terms that [host] knows. */
+    /**
+     * Asks [host] for any answer; [onResult] gets the result and the terms that [host] knows. It may be called with
+     * [ProbeResult.HEARD] before the final result.
+     */
     fun probe(host: String, onResult: (ProbeResult, List<OwnerTerm>) -> Unit)
 
     /** Asks [witness] whether the owner of [term] answers; [onReply] gets that and the terms that [witness] knows. */
@@ -45,8 +48,11 @@
     fun announce(term: OwnerTerm)
 }
 
-/** Whether a host answered a probe; [REFUSED] if it ended the connection or did not accept one. */
-internal enum class ProbeResult { ANSWERED, SILENT, REFUSED }
+/**
+ * Whether a host answered a probe; [REFUSED] if it ended the connection or did not accept one. [HEARD] is any datagram
+ * from it, which may have been sent before the probe.
+ */
+internal enum class ProbeResult { ANSWERED, HEARD, SILENT, REFUSED }
 
 internal class PeerClient(
     private val link: PeerLink,
@@ -64,15 +70,7 @@
         var lastBroadcastMs = Long.MIN_VALUE / 2
     }
 
-    private class Probe(val onResult: (ProbeResult, List<OwnerTerm>) -> Unit) {
-        var isEnded = false
-
-        fun end(result: ProbeResult, terms: List<OwnerTerm>) {
-            if (isEnded) return
-            isEnded = true
-            onResult(result, terms)
-        }
-    }
+    private class Probe(val onResult: (ProbeResult, List<OwnerTerm>) -> Unit)
 
     private val states = HashMap<String, PeerState>()
 
@@ -173,14 +171,14 @@
                     isEarly -> ProbeResult.REFUSED
                     else -> ProbeResult.SILENT
                 }
-                probe.end(result, ((outcome as? PeerOutcome.Replied)?.reply as? Pong)?.terms.orEmpty())
+                onResult(result, ((outcome as? PeerOutcome.Replied)?.reply as? Pong)?.terms.orEmpty())
             }
         }
     }
 
-    /** Handles a datagram from [host], which answers the probes that wait for it. */
+    /** Handles a datagram from [host]: the probes that wait for it have heard of it. */
     fun onDatagram(host: String) {
-        probes.remove(host)?.forEach { it.end(ProbeResult.ANSWERED, emptyList()) }
+        probes.remove(host)?.forEach { it.onResult(ProbeResult.HEARD, emptyList()) }
     }
 
     override fun askOwner(
--- a/src/main/kotlin/ownership/QueueOwnership.kt
+++ b/src/main/kotlin/ownership/QueueOwnership.kt
@@ -114,14 +114,16 @@
         return takeEffects()
     }
 
-    /** Takes over [pool] for a job that has arrived here, if nobody owns it. */
+    /** Takes over [pool] for a job that has arrived here, if nobody owns it and this host does not leave. */
     fun onJob(pool: String, now: Long): List<OwnershipEffect> {
         val term = poolOf(pool, now).term
-        if (term == null || isGone(term)) claim(pool, if (term == null) "no owner known" else "owner gone", now)
+        val mayOwn = !view.self.leaving || view.owners().all { it.leaving }
+        val isUnowned = term == null || isGone(term)
+        if (mayOwn && isUnowned) claim(pool, if (term == null) "no owner known" else "owner gone", now)
         return takeEffects()
     }
 
-    /** Gives the queue of [pool] to the host that suits best besides this one; returns whether there is one. */
+    /** Gives the queue of [pool] to the host that suits best besides this one, if there is one that stays. */
     fun handOver(pool: String, why: String, now: Long): List<OwnershipEffect> {
         val term = termOf(pool)?.takeIf(::isOwn) ?: return emptyList()
         val next = successorOf(pool)?.takeIf { it.host != view.self.host && !it.leaving } ?: return emptyList()
@@ -132,6 +134,11 @@
     /** [host] answered a probe that was sent at [sentMs]. */
     fun onAnswer(host: String, sentMs: Long, now: Long) {
         if (sentMs >= resumedMs) answeredMs = now
+        onHeard(host, now)
+    }
+
+    /** A message from [host] arrived that may have been sent some time ago. */
+    fun onHeard(host: String, now: Long) {
         for (pool in pools.values) {
             if (pool.term?.host != host) continue
             pool.heardMs = now
@@ -147,10 +154,10 @@
 
     /** [witness] said whether the owner of [term] answers it. */
     fun onWitness(witness: String, term: OwnerTerm, isAnswering: Boolean, now: Long): List<OwnershipEffect> {
-        answeredMs = now
         val pool = pools[term.pool] ?: return emptyList()
         val check = pool.check ?: return emptyList()
         if (pool.term != term || witness !in check.asked) return emptyList()
+        answeredMs = now
         if (isAnswering) {
             pool.check = null
             pool.heardMs = now
--- a/src/test/kotlin/ownership/QueueOwnershipSpec.kt
+++ b/src/test/kotlin/ownership/QueueOwnershipSpec.kt
@@ -189,6 +189,21 @@
             }
         }
 
+        // Guards against a datagram from before a pause that is taken for an answer after it.
+        test("an owner that was paused may call again only after an answer to a probe that it sent since") {
+            val fleet = OwnershipFleet(3, size = 3).also { it.run(4_000) }
+            val owner = fleet.owner("retrieve")
+            val other = fleet.hosts.values.first { it !== owner }.name
+            val now = fleet.now + 3_000
+            owner.ownership.onTick(FLEET_POOLS, now)
+            owner.ownership.mayCall("retrieve", now) shouldBe false
+            owner.ownership.onHeard(other, now)
+            owner.ownership.onAnswer(other, now - 10, now)
+            owner.ownership.mayCall("retrieve", now) shouldBe false
+            owner.ownership.onAnswer(other, now, now + 5)
+            owner.ownership.mayCall("retrieve", now + 5) shouldBe true
+        }
+
         test("two hosts that claim the same term agree on one of them") {
             val terms = listOf("a", "b", "c").map { OwnerTerm("retrieve", 3, it, 1) }
             val best = terms.single { term -> terms.all { it == term || term.supersedes(it) } }
