Log and count why a request is sent again, and whether the budget paid for it

A record could not tell whether repeats were rejections, losses or lost inputs, and not at all which of them were counted. The line of a send says repeat and paid; sesamerouter_forward_repeats_total counts by service, reason and paid.

--- a/src/main/kotlin/front/DecisionLines.kt
+++ b/src/main/kotlin/front/DecisionLines.kt
@@ -20,6 +20,8 @@
             "inputs" to effect.inputs.size,
             "left-ms" to effect.expiresAtMs - now,
             "targets-age-ms" to targetsAgeMs,
+            "repeat" to effect.repeat?.reason,
+            "paid" to effect.repeat?.isPaid,
         )
 
         is FlowEffect.Reject -> write(
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -346,7 +346,10 @@
 
             else -> {
                 log.writeDecision(effect, now, now - directory.lastContiguousReadMs)
-                if (effect is FlowEffect.Send) metrics.sends.increment()
+                if (effect is FlowEffect.Send) {
+                    metrics.sends.increment()
+                    effect.repeat?.let { metrics.countRepeat(effect.target.service, it) }
+                }
                 eventLoop.execute { exchanges.apply(effect) }
             }
         }
--- a/src/main/kotlin/front/FrontMetrics.kt
+++ b/src/main/kotlin/front/FrontMetrics.kt
@@ -9,6 +9,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.sesamerouter.quarantine.PartChangeKind
+import org.sesamerouter.serving.Repeat
 
 private val LATENCY_BUCKETS_MS = doubleArrayOf(50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0)
 
@@ -38,6 +39,17 @@
     fun countLost(isBegun: Boolean) =
         registry.counter("sesamerouter.forward.lost", "begun", isBegun.toString()).increment()
 
+    /** Counts a request that its [service] gets again. */
+    fun countRepeat(service: String, repeat: Repeat) = registry.counter(
+        "sesamerouter.forward.repeats",
+        "service",
+        service,
+        "reason",
+        repeat.reason.name,
+        "paid",
+        repeat.isPaid.toString(),
+    ).increment()
+
     /** Counts a change of what this host believes about a part of prompts. */
     fun countPartChange(kind: PartChangeKind) =
         registry.counter("sesamerouter.quarantine.part.changes", "kind", kind.name).increment()
--- a/src/main/kotlin/serving/Flow.kt
+++ b/src/main/kotlin/serving/Flow.kt
@@ -4,6 +4,7 @@
 package org.sesamerouter.serving
 
 import org.sesamerouter.discovery.TargetEntry
+import org.sesamerouter.retry.RepeatReason
 
 private const val PERCENT = 100
 private const val PROTECTED_PERCENT = 25 // keeps every kind of request from being served far less often than the others
@@ -33,6 +34,12 @@
     var mayHaveRun = false
     var hasBufferedFailure = false
 
+    /** What ended the last send, if a target may have received it; null before that. */
+    var repeatReason: RepeatReason? = null
+
+    /** Why the next send is a repeat; null if it is none. */
+    var repeat: Repeat? = null
+
     /** Whether a part of the response was passed on to the caller. */
     var isResponding = false
     var lastEventId = request.lastEventId
@@ -49,6 +56,11 @@
     /** Whether the request is at no target and no part of a response was passed on. */
     val isUnsent: Boolean get() = currentSend == null && !isResponding
 
+    /** Makes the next send a repeat for [reason]; a send that no target has received is not repeated. */
+    fun onRepeat(reason: RepeatReason?, isPaid: Boolean) {
+        repeat = reason?.let { Repeat(it, isPaid) }
+    }
+
     /** Returns the number of pieces of [stage]; 0 when the request skips it. */
     fun pieceCount(stage: Int): Int = request.pieces.getOrElse(stage) { 0 }
 
@@ -87,6 +99,9 @@
     var firstEventMs: Long? = null
     var areInputsReported = false
 
+    /** Whether the target was given up for its silence. */
+    var isGivenUp = false
+
     /** Whether the target went on with the response after the time within which a prompt may crash it. */
     var isPastBeginning = false
 }
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -10,6 +10,7 @@
 import org.sesamerouter.quarantine.DeathNotice
 import org.sesamerouter.quarantine.HeldPart
 import org.sesamerouter.quarantine.PartChange
+import org.sesamerouter.retry.RepeatReason
 import org.sesamerouter.routing.ReportedLoad
 
 /**
@@ -44,6 +45,9 @@
     val sharedParts: List<String> get() = promptParts.dropLast(1).map { it.id }
 }
 
+/** A send of a request that its service has received before; [isPaid] if the retry budget was charged for it. */
+data class Repeat(val reason: RepeatReason, val isPaid: Boolean)
+
 /** Identifies one send of a request. */
 data class SendId(val flow: Long, val number: Int)
 
@@ -171,6 +175,8 @@
     /**
      * Sends the request to [target] with the handles [inputs] of the stage results, unless the deadline [expiresAtMs]
      * has passed by then or too much time since [decidedAtMs].
+     *
+     * @property repeat why the service gets the request again; null at the first time.
      */
     data class Send(
         val send: SendId,
@@ -181,6 +187,7 @@
         val decidedAtMs: Long,
         val lastEventId: String?,
         val rank: Int,
+        val repeat: Repeat? = null,
     ) : FlowEffect
 
     data class CancelSend(val send: SendId) : FlowEffect
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -11,6 +11,7 @@
 import org.sesamerouter.engine.Prompt
 import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.retry.RepeatReason
 import org.sesamerouter.routing.ServiceTargets
 
 private const val MAX_SENDS = 5
@@ -189,6 +190,7 @@
     private fun onStageFailed(flow: Flow, failure: JobFailure, now: Long) {
         val mayRerun = failure == JobFailure.INPUT_GONE && flow.stageReruns < MAX_STAGE_RERUNS
         if (mayRerun && now + MIN_SEND_MS < flow.request.deadlineMs) {
+            flow.onRepeat(RepeatReason.STAGE_INPUTS_GONE, isPaid = false)
             discardResults(flow)
             rerunStages(flow, now)
         } else {
@@ -235,7 +237,9 @@
             now,
             flow.lastEventId,
             request.rank,
+            flow.repeat,
         )
+        flow.repeat = null
     }
 
     private fun chooseTarget(flow: Flow, prompt: Prompt, isEngine: Boolean, now: Long): TargetEntry? {
@@ -297,7 +301,9 @@
             is SendFailure.NotAttempted -> resend(flow, RejectReason.TARGETS_REFUSED, now)
 
             is SendFailure.NotRun -> {
+                flow.repeatReason = RepeatReason.REJECTED
                 if (failure.status == INPUTS_GONE_STATUS && flow.stageReruns < MAX_STAGE_RERUNS) {
+                    flow.onRepeat(RepeatReason.INPUTS_GONE, isPaid = false)
                     discardResults(flow)
                     rerunStages(flow, now)
                 } else {
@@ -308,6 +314,7 @@
             is SendFailure.FailedAnswer -> {
                 flow.mayHaveRun = true
                 flow.hasBufferedFailure = true
+                flow.repeatReason = RepeatReason.FAILED
                 flow.runs++
                 val isServerError = failure.status >= FIRST_SERVER_ERROR_STATUS
                 serviceTargets.onResponse(attempt.target, now - attempt.sentMs, isServerError, now)
@@ -316,6 +323,7 @@
 
             is SendFailure.Lost -> {
                 flow.mayHaveRun = true
+                flow.repeatReason = if (attempt.isGivenUp) RepeatReason.SILENT else RepeatReason.LOST
                 flow.runs++
                 val point = if (failure.mayHaveBegun) LossPoint.BEGINNING else LossPoint.OTHER
                 onLoss(flow, attempt, failure.mayBeCrash, point, now)
@@ -328,9 +336,11 @@
 
     /** Gives up a silent target if another one may run the request now; that may have changed since the send. */
     private fun onSendSilent(send: SendId, now: Long) {
-        val (flow, _) = findSend(send) ?: return
+        val (flow, attempt) = findSend(send) ?: return
         val mayRunAgain = mayRerun(flow, now, runs = flow.runs + 1) && shutdown.canComplete(flow, now)
-        if (mayRunAgain && retryBudget(flow.request.service).canWithdraw) effects += FlowEffect.GiveUpSend(send)
+        if (!mayRunAgain || !retryBudget(flow.request.service).canWithdraw) return
+        attempt.isGivenUp = true
+        effects += FlowEffect.GiveUpSend(send)
     }
 
     /** Records a lost response; a request that may be what crashed its target waits before it may be repeated. */
@@ -379,6 +389,7 @@
 
     private fun onResponseBroken(flow: Flow, attempt: SendAttempt, failure: SendFailure.Broken, now: Long) {
         flow.mayHaveRun = true
+        flow.repeatReason = RepeatReason.BROKEN_OFF
         flow.runs++
         val point = when {
             !failure.hasEvents -> LossPoint.BEFORE_FIRST_EVENT
@@ -406,7 +417,12 @@
     private fun resend(flow: Flow, reason: RejectReason, now: Long) {
         val leftMs = flow.request.deadlineMs - now
         val mayTry = flow.sends < MAX_SENDS && leftMs > MIN_SEND_MS
-        if (mayTry && retryBudget(flow.request.service).tryWithdraw()) send(flow, now) else fail(flow, reason)
+        if (!mayTry || !retryBudget(flow.request.service).tryWithdraw()) {
+            fail(flow, reason)
+            return
+        }
+        flow.onRepeat(flow.repeatReason, isPaid = true)
+        send(flow, now)
     }
 
     private fun mayRerun(flow: Flow, now: Long, runs: Int = flow.runs): Boolean = flow.request.route.isIdempotent &&
@@ -415,6 +431,7 @@
 
     private fun rerun(flow: Flow, now: Long) {
         if (mayRerun(flow, now) && retryBudget(flow.request.service).tryWithdraw()) {
+            flow.onRepeat(flow.repeatReason, isPaid = true)
             if (flow.isResponding) discardResults(flow)
             if (flow.request.route.stages.isEmpty()) send(flow, now) else rerunStages(flow, now)
         } else {
