Let each repeat of a request pass one gate, those for lost inputs too

What callers and targets saw: a stage target loses its results, and every request that holds one reaches its engine again, up to two times more, on all hosts at once; the users counted it as BUDGET. Those repeats were sent without a withdrawal. Cause: each place that sent a request again had to think of the budget, and two of them (a target that cannot fetch the inputs, a stage that cannot) did not. Change: a send needs a pass, which only SendGate makes: one for the first arrival of a request, one for each repeat that the allowance pays for. A pass is needed to build the effect, so no other place can send. A repeat that is not affordable ends the request at once, as not run where nothing ran. A send that reached no target (refused, not attempted) keeps its pass: it is no arrival, and it no longer costs one. RequestFlowsSpec has both cases without a fleet. A counter of repeats without a pass shows a bug if it is not 0; a line tells when an allowance is used up and when it is back.

--- a/src/main/kotlin/front/DecisionLines.kt
+++ b/src/main/kotlin/front/DecisionLines.kt
@@ -4,6 +4,7 @@
 package org.sesamerouter.front
 
 import org.sesamerouter.discovery.EntryChange
+import org.sesamerouter.retry.AllowanceChange
 import org.sesamerouter.serving.FlowEffect
 
 private const val MAX_LOGGED_IDS = 6
@@ -20,8 +21,8 @@
             "inputs" to effect.inputs.size,
             "left-ms" to effect.expiresAtMs - now,
             "targets-age-ms" to targetsAgeMs,
-            "repeat" to effect.repeat?.reason,
-            "paid" to effect.repeat?.isPaid,
+            "repeat" to effect.pass.reason,
+            "repeats-left" to effect.pass.left,
         )
 
         is FlowEffect.Reject -> write(
@@ -51,6 +52,18 @@
     }
 }
 
+/** Writes that repeats at a service are used up or back, with the number of [hosts] that share the slack. */
+internal fun DecisionLog.writeAllowance(change: AllowanceChange, hosts: Int) = write(
+    "repeat-allowance",
+    "service" to change.service,
+    "used-up" to change.isUsedUp,
+    "left" to change.use?.left,
+    "repeats" to change.use?.repeats,
+    "requests" to change.use?.requests,
+    "not-sent" to change.refused,
+    "hosts" to hosts,
+)
+
 /** Writes what this host believes about a part of prompts from now on, and the crashes that count against it. */
 internal fun DecisionLog.writePartChange(effect: FlowEffect.QuarantineChanged) = write(
     "part",
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -30,6 +30,8 @@
 import org.sesamerouter.propagation.OtherHost
 import org.sesamerouter.quarantine.DEATHS_TO_QUARANTINE_SHARED
 import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.retry.BucketAllowance
+import org.sesamerouter.retry.SendGate
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.routing.TargetNotice
 import org.sesamerouter.routing.rendezvous
@@ -107,13 +109,14 @@
         onJobEnded = ::onStageEnded,
     )
     internal val quarantine = Quarantine(QUARANTINE_MS, QUARANTINE_CAPACITY, DEATHS_TO_QUARANTINE_SHARED)
+    private val sendGate = SendGate(BucketAllowance(::newBudget))
     internal val flows = RequestFlows(
         HostFlowContext(),
         engines,
         serviceTargets,
         quarantine,
         settings.dataCentre,
-        ::newBudget,
+        sendGate,
     )
     private val checks = TargetChecks(client, eventLoop, ::onTargetChecked)
     private val servers = ArrayList<RequestServer>()
@@ -246,6 +249,7 @@
         peers.onTick(now)
         configuration.onTick(now)
         storeAdapter.onTick(now)
+        sendGate.takeChanges(now).forEach { log.writeAllowance(it, membership.live().size) }
         val isPauseOver = usableTargets.onTick(now)
         if (directory.onTick(now) || isPauseOver) onTargetsChanged(now)
         peerUpdates.onTick(now)
@@ -348,13 +352,25 @@
                 log.writeDecision(effect, now, now - directory.lastContiguousReadMs)
                 if (effect is FlowEffect.Send) {
                     metrics.sends.increment()
-                    effect.repeat?.let { metrics.countRepeat(effect.target.service, it) }
+                    countRepeat(effect)
                 }
                 eventLoop.execute { exchanges.apply(effect) }
             }
         }
     }
 
+    private fun countRepeat(send: FlowEffect.Send) {
+        val service = send.target.service
+        val reason = send.pass.reason
+        if (reason !=
+            null
+        ) {
+            metrics.countRepeat(service, reason)
+        } else if (send.isRepeat) {
+            metrics.countUnpaidRepeat(service)
+        }
+    }
+
     private fun checkTarget(target: TargetEntry) {
         val healthPath = config?.services?.get(target.service)?.healthPath ?: return
         checks.start(target, healthPath)
--- a/src/main/kotlin/front/FrontMetrics.kt
+++ b/src/main/kotlin/front/FrontMetrics.kt
@@ -9,7 +9,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.sesamerouter.quarantine.PartChangeKind
-import org.sesamerouter.serving.Repeat
+import org.sesamerouter.retry.RepeatReason
 
 private val LATENCY_BUCKETS_MS = doubleArrayOf(50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0)
 
@@ -39,23 +39,20 @@
     fun countLost(isBegun: Boolean) =
         registry.counter("sesamerouter.forward.lost", "begun", isBegun.toString()).increment()
 
-    /** Counts a request that its [service] gets again. */
-    fun countRepeat(service: String, repeat: Repeat) = registry.counter(
-        "sesamerouter.forward.repeats",
-        "service",
-        service,
-        "reason",
-        repeat.reason.name,
-        "paid",
-        repeat.isPaid.toString(),
-    ).increment()
+    /** Counts a request that its [service] gets again for [reason]. */
+    fun countRepeat(service: String, reason: RepeatReason) =
+        registry.counter("sesamerouter.forward.repeats", "service", service, "reason", reason.name).increment()
+
+    /** Counts a request that was sent again without a pass for it: a fault of this program. */
+    fun countUnpaidRepeat(service: String) =
+        registry.counter("sesamerouter.forward.repeats.unpaid", "service", service).increment()
 
     /** Counts a change of what this host believes about a part of prompts. */
     fun countPartChange(kind: PartChangeKind) =
         registry.counter("sesamerouter.quarantine.part.changes", "kind", kind.name).increment()
 
-    fun gauge(name: String, supplier: () -> Number) {
-        Gauge.builder("sesamerouter.$name") { supplier() }.register(registry)
+    fun gauge(name: String, vararg tags: String, supplier: () -> Number) {
+        Gauge.builder("sesamerouter.$name") { supplier() }.tags(*tags).register(registry)
     }
 
     /** Returns all metrics in the Prometheus text format. */
--- a/src/main/kotlin/serving/Flow.kt
+++ b/src/main/kotlin/serving/Flow.kt
@@ -5,6 +5,7 @@
 
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.retry.RepeatReason
+import org.sesamerouter.retry.SendPass
 
 private const val PERCENT = 100
 private const val PROTECTED_PERCENT = 25 // keeps every kind of request from being served far less often than the others
@@ -34,11 +35,14 @@
     var mayHaveRun = false
     var hasBufferedFailure = false
 
-    /** What ended the last send, if a target may have received it; null before that. */
-    var repeatReason: RepeatReason? = null
+    /** Leave for the next send; null while a send is in progress, and after a send that a target may have received. */
+    var pass: SendPass? = null
 
-    /** Why the next send is a repeat; null if it is none. */
-    var repeat: Repeat? = null
+    /** Whether a target of the service may have received the request. */
+    var mayHaveArrived = false
+
+    /** Why the request is repeated after the last response that was lost. */
+    var lossReason = RepeatReason.LOST
 
     /** Whether a part of the response was passed on to the caller. */
     var isResponding = false
@@ -56,11 +60,6 @@
     /** Whether the request is at no target and no part of a response was passed on. */
     val isUnsent: Boolean get() = currentSend == null && !isResponding
 
-    /** Makes the next send a repeat for [reason]; a send that no target has received is not repeated. */
-    fun onRepeat(reason: RepeatReason?, isPaid: Boolean) {
-        repeat = reason?.let { Repeat(it, isPaid) }
-    }
-
     /** Returns the number of pieces of [stage]; 0 when the request skips it. */
     fun pieceCount(stage: Int): Int = request.pieces.getOrElse(stage) { 0 }
 
@@ -94,7 +93,13 @@
 }
 
 /** One send of a request to a target. */
-internal class SendAttempt(val id: SendId, val target: TargetEntry, val prefillTokens: Long, val sentMs: Long) {
+internal class SendAttempt(
+    val id: SendId,
+    val target: TargetEntry,
+    val prefillTokens: Long,
+    val sentMs: Long,
+    val pass: SendPass,
+) {
     var isPrefilled = false
     var firstEventMs: Long? = null
     var areInputsReported = false
--- a/src/main/kotlin/serving/FlowMessages.kt
+++ b/src/main/kotlin/serving/FlowMessages.kt
@@ -10,7 +10,7 @@
 import org.sesamerouter.quarantine.DeathNotice
 import org.sesamerouter.quarantine.HeldPart
 import org.sesamerouter.quarantine.PartChange
-import org.sesamerouter.retry.RepeatReason
+import org.sesamerouter.retry.SendPass
 import org.sesamerouter.routing.ReportedLoad
 
 /**
@@ -45,19 +45,23 @@
     val sharedParts: List<String> get() = promptParts.dropLast(1).map { it.id }
 }
 
-/** A send of a request that its service has received before; [isPaid] if the retry budget was charged for it. */
-data class Repeat(val reason: RepeatReason, val isPaid: Boolean)
-
 /** Identifies one send of a request. */
 data class SendId(val flow: Long, val number: Int)
 
 /** Why a send ended without a complete successful response. */
 sealed interface SendFailure {
+    /** Whether the target may have received the request. */
+    val mayHaveArrived: Boolean get() = true
+
     /** The target could not be reached; no byte of the request left this host. [isRefused] if nothing listens there. */
-    data class NotSent(val cause: String, val isRefused: Boolean = true) : SendFailure
+    data class NotSent(val cause: String, val isRefused: Boolean = true) : SendFailure {
+        override val mayHaveArrived get() = false
+    }
 
     /** This host did not try to reach the target. */
-    data class NotAttempted(val cause: String) : SendFailure
+    data class NotAttempted(val cause: String) : SendFailure {
+        override val mayHaveArrived get() = false
+    }
 
     /** The target states that it did not run the request. */
     data class NotRun(val status: Int) : SendFailure
@@ -176,7 +180,8 @@
      * Sends the request to [target] with the handles [inputs] of the stage results, unless the deadline [expiresAtMs]
      * has passed by then or too much time since [decidedAtMs].
      *
-     * @property repeat why the service gets the request again; null at the first time.
+     * @property pass leave for this arrival of the request at its service.
+     * @property isRepeat whether a target of the service may have received the request before.
      */
     data class Send(
         val send: SendId,
@@ -187,7 +192,8 @@
         val decidedAtMs: Long,
         val lastEventId: String?,
         val rank: Int,
-        val repeat: Repeat? = null,
+        val pass: SendPass,
+        val isRepeat: Boolean,
     ) : FlowEffect
 
     data class CancelSend(val send: SendId) : FlowEffect
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -9,9 +9,9 @@
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.engine.EngineTable
 import org.sesamerouter.engine.Prompt
-import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.quarantine.Quarantine
 import org.sesamerouter.retry.RepeatReason
+import org.sesamerouter.retry.SendGate
 import org.sesamerouter.routing.ServiceTargets
 
 private const val MAX_SENDS = 5
@@ -35,11 +35,10 @@
     private val serviceTargets: ServiceTargets,
     quarantine: Quarantine,
     private val dataCentre: String,
-    private val newRetryBudget: () -> RetryBudget,
+    private val sendGate: SendGate,
 ) {
     private val flows = LinkedHashMap<Long, Flow>()
     private val flowOfJob = HashMap<String, Flow>()
-    private val retryBudgets = HashMap<String, RetryBudget>()
     private val effects = ArrayList<FlowEffect>()
     private val latency = LatencyEstimator(context)
     private val stageJobs = StageJobFactory(context, engines, latency)
@@ -86,11 +85,11 @@
     private fun onArrived(request: ForwardRequest, now: Long) {
         val flow = Flow(request, firstAttempts.sinceFirstAttemptMs(request, now))
         flows[request.flow] = flow
+        flow.pass = sendGate.onRequest(request.service, now)
         if (!shutdown.mayAccept(request)) {
             fail(flow, RejectReason.STOPPING)
             return
         }
-        retryBudget(request.service).deposit()
         if (rejectQuarantined(flow, crashGuard.permit(flow, now))) return
         if (request.deadlineMs - now < MIN_SEND_MS) {
             fail(flow, RejectReason.DEADLINE)
@@ -188,16 +187,29 @@
     }
 
     private fun onStageFailed(flow: Flow, failure: JobFailure, now: Long) {
-        val mayRerun = failure == JobFailure.INPUT_GONE && flow.stageReruns < MAX_STAGE_RERUNS
-        if (mayRerun && now + MIN_SEND_MS < flow.request.deadlineMs) {
-            flow.onRepeat(RepeatReason.STAGE_INPUTS_GONE, isPaid = false)
-            discardResults(flow)
-            rerunStages(flow, now)
+        val isWorthwhile = failure == JobFailure.INPUT_GONE && now + MIN_SEND_MS < flow.request.deadlineMs
+        if (isWorthwhile && mayMakeStagesAgain(flow, RepeatReason.STAGE_INPUTS_GONE, now)) {
+            makeStagesAgain(flow, now)
         } else {
             fail(flow, if (failure == JobFailure.LATE) RejectReason.OVERLOAD else RejectReason.STAGE_FAILED)
         }
     }
 
+    /** Whether the stages may be made again since their results are gone; the request then has a pass for its send. */
+    private fun mayMakeStagesAgain(flow: Flow, reason: RepeatReason, now: Long): Boolean =
+        flow.stageReruns < MAX_STAGE_RERUNS && takePass(flow, reason, now)
+
+    private fun makeStagesAgain(flow: Flow, now: Long) {
+        discardResults(flow)
+        rerunStages(flow, now)
+    }
+
+    /** Takes a pass for the next arrival of the request at its service; returns whether the allowance has one. */
+    private fun takePass(flow: Flow, reason: RepeatReason, now: Long): Boolean {
+        flow.pass = sendGate.repeat(flow.request.service, reason, now) ?: return false
+        return true
+    }
+
     private fun rerunStages(flow: Flow, now: Long) {
         flow.stageReruns++
         cancelStages(flow)
@@ -206,6 +218,7 @@
 
     private fun send(flow: Flow, now: Long) {
         val request = flow.request
+        val pass = checkNotNull(flow.pass) { "request ${request.id} has no pass for another send" }
         startedDeferred -= request.flow
         val leftMs = request.deadlineMs - now
         if (leftMs < MIN_SEND_MS || !shutdown.canComplete(flow, now)) {
@@ -225,8 +238,9 @@
         }
         val prefillTokens = if (isEngine) engines.onSend(target.id, prompt, cacheTokens(request.service)) else 0
         serviceTargets.onSend(target)
-        val attempt = SendAttempt(SendId(request.flow, ++flow.sends), target, prefillTokens, now)
+        val attempt = SendAttempt(SendId(request.flow, ++flow.sends), target, prefillTokens, now, pass)
         flow.currentSend = attempt
+        flow.pass = null
         flow.triedTargets += target.id
         effects += FlowEffect.Send(
             attempt.id,
@@ -237,9 +251,9 @@
             now,
             flow.lastEventId,
             request.rank,
-            flow.repeat,
+            pass,
+            flow.mayHaveArrived,
         )
-        flow.repeat = null
     }
 
     private fun chooseTarget(flow: Flow, prompt: Prompt, isEngine: Boolean, now: Long): TargetEntry? {
@@ -291,43 +305,41 @@
         val (flow, attempt) = findSend(event.send) ?: return
         event.load?.let { serviceTargets.onLoad(attempt.target, it, now) }
         endSend(flow, attempt)
+        if (event.failure.mayHaveArrived) flow.mayHaveArrived = true
         when (val failure = event.failure) {
             is SendFailure.NotSent -> {
                 if (failure.isRefused) onTargetCrashed(attempt.target, now)
                 onTargetFailure(attempt, isDown = true, now)
-                resend(flow, RejectReason.TARGETS_REFUSED, now)
+                sendElsewhere(flow, attempt, now)
             }
 
-            is SendFailure.NotAttempted -> resend(flow, RejectReason.TARGETS_REFUSED, now)
+            is SendFailure.NotAttempted -> sendElsewhere(flow, attempt, now)
 
             is SendFailure.NotRun -> {
-                flow.repeatReason = RepeatReason.REJECTED
-                if (failure.status == INPUTS_GONE_STATUS && flow.stageReruns < MAX_STAGE_RERUNS) {
-                    flow.onRepeat(RepeatReason.INPUTS_GONE, isPaid = false)
-                    discardResults(flow)
-                    rerunStages(flow, now)
-                } else {
-                    resend(flow, RejectReason.TARGETS_REFUSED, now)
+                val areInputsGone = failure.status == INPUTS_GONE_STATUS
+                when {
+                    !areInputsGone -> resend(flow, now)
+                    mayMakeStagesAgain(flow, RepeatReason.INPUTS_GONE, now) -> makeStagesAgain(flow, now)
+                    else -> fail(flow, RejectReason.TARGETS_REFUSED)
                 }
             }
 
             is SendFailure.FailedAnswer -> {
                 flow.mayHaveRun = true
                 flow.hasBufferedFailure = true
-                flow.repeatReason = RepeatReason.FAILED
                 flow.runs++
                 val isServerError = failure.status >= FIRST_SERVER_ERROR_STATUS
                 serviceTargets.onResponse(attempt.target, now - attempt.sentMs, isServerError, now)
-                if (isServerError) rerun(flow, now) else fail(flow, RejectReason.OUTCOME_UNKNOWN)
+                if (isServerError) rerun(flow, RepeatReason.FAILED, now) else fail(flow, RejectReason.OUTCOME_UNKNOWN)
             }
 
             is SendFailure.Lost -> {
                 flow.mayHaveRun = true
-                flow.repeatReason = if (attempt.isGivenUp) RepeatReason.SILENT else RepeatReason.LOST
+                flow.lossReason = if (attempt.isGivenUp) RepeatReason.SILENT else RepeatReason.LOST
                 flow.runs++
                 val point = if (failure.mayHaveBegun) LossPoint.BEGINNING else LossPoint.OTHER
                 onLoss(flow, attempt, failure.mayBeCrash, point, now)
-                if (flow.waitingRepeat == null) rerun(flow, now)
+                if (flow.waitingRepeat == null) rerun(flow, flow.lossReason, now)
             }
 
             is SendFailure.Broken -> onResponseBroken(flow, attempt, failure, now)
@@ -338,7 +350,7 @@
     private fun onSendSilent(send: SendId, now: Long) {
         val (flow, attempt) = findSend(send) ?: return
         val mayRunAgain = mayRerun(flow, now, runs = flow.runs + 1) && shutdown.canComplete(flow, now)
-        if (!mayRunAgain || !retryBudget(flow.request.service).canWithdraw) return
+        if (!mayRunAgain || !sendGate.mayRepeat(flow.request.service, now)) return
         attempt.isGivenUp = true
         effects += FlowEffect.GiveUpSend(send)
     }
@@ -379,7 +391,13 @@
         val decision = crashGuard.decideRepeat(flow, repeat, now)
         if (decision == RepeatDecision.WAIT) return
         flow.waitingRepeat = null
-        if (decision == RepeatDecision.REPEAT) rerun(flow, now) else fail(flow, RejectReason.QUARANTINED)
+        if (decision ==
+            RepeatDecision.REPEAT
+        ) {
+            rerun(flow, flow.lossReason, now)
+        } else {
+            fail(flow, RejectReason.QUARANTINED)
+        }
     }
 
     private fun onTargetFailure(attempt: SendAttempt, isDown: Boolean, now: Long) {
@@ -389,7 +407,7 @@
 
     private fun onResponseBroken(flow: Flow, attempt: SendAttempt, failure: SendFailure.Broken, now: Long) {
         flow.mayHaveRun = true
-        flow.repeatReason = RepeatReason.BROKEN_OFF
+        flow.lossReason = RepeatReason.BROKEN_OFF
         flow.runs++
         val point = when {
             !failure.hasEvents -> LossPoint.BEFORE_FIRST_EVENT
@@ -405,7 +423,7 @@
         }
         flow.lastEventId = failure.lastEventId ?: flow.lastEventId
         flow.isResponding = true
-        if (flow.waitingRepeat == null) rerun(flow, now)
+        if (flow.waitingRepeat == null) rerun(flow, flow.lossReason, now)
     }
 
     private fun abort(flow: Flow, cause: String) {
@@ -413,25 +431,29 @@
         end(flow, "cut: $cause")
     }
 
-    /** Sends a request that has not run yet again, if its retry budget and deadline allow. */
-    private fun resend(flow: Flow, reason: RejectReason, now: Long) {
-        val leftMs = flow.request.deadlineMs - now
-        val mayTry = flow.sends < MAX_SENDS && leftMs > MIN_SEND_MS
-        if (!mayTry || !retryBudget(flow.request.service).tryWithdraw()) {
-            fail(flow, reason)
-            return
+    private fun mayResend(flow: Flow, now: Long) = flow.sends < MAX_SENDS && flow.request.deadlineMs - now > MIN_SEND_MS
+
+    /** Sends a request again that has reached no target: that is no repeat. */
+    private fun sendElsewhere(flow: Flow, attempt: SendAttempt, now: Long) {
+        flow.pass = attempt.pass
+        if (mayResend(flow, now)) send(flow, now) else fail(flow, RejectReason.TARGETS_REFUSED)
+    }
+
+    /** Sends a request again that a target rejected, if its deadline and the allowance permit. */
+    private fun resend(flow: Flow, now: Long) {
+        if (mayResend(flow, now) && takePass(flow, RepeatReason.REJECTED, now)) {
+            send(flow, now)
+        } else {
+            fail(flow, RejectReason.TARGETS_REFUSED)
         }
-        flow.onRepeat(flow.repeatReason, isPaid = true)
-        send(flow, now)
     }
 
     private fun mayRerun(flow: Flow, now: Long, runs: Int = flow.runs): Boolean = flow.request.route.isIdempotent &&
         runs < flow.request.route.maxAttempts &&
         flow.request.deadlineMs - now > MIN_SEND_MS
 
-    private fun rerun(flow: Flow, now: Long) {
-        if (mayRerun(flow, now) && retryBudget(flow.request.service).tryWithdraw()) {
-            flow.onRepeat(flow.repeatReason, isPaid = true)
+    private fun rerun(flow: Flow, reason: RepeatReason, now: Long) {
+        if (mayRerun(flow, now) && takePass(flow, reason, now)) {
             if (flow.isResponding) discardResults(flow)
             if (flow.request.route.stages.isEmpty()) send(flow, now) else rerunStages(flow, now)
         } else {
@@ -439,8 +461,6 @@
         }
     }
 
-    private fun retryBudget(service: String) = retryBudgets.getOrPut(service, newRetryBudget)
-
     private fun onTick(now: Long) {
         deferred.takeExpired(now).forEach(::rejectDeferred)
         startDeferred(now)
--- a/src/test/kotlin/DependencyRulesSpec.kt
+++ b/src/test/kotlin/DependencyRulesSpec.kt
@@ -14,12 +14,12 @@
 private val productionPackages = listOf(
     "clock", "settings", "api", "configuration", "log", "web", "target", "routing", "admission", "pipeline", "ledger",
     "quarantine", "membership", "location", "orders", "cost", "host", "platform", "serving", "batching", "engine",
-    "discovery", "propagation", "front",
+    "discovery", "propagation", "front", "retry",
 ).map { "org.sesamerouter.$it.." }.toTypedArray()
 
 private val stateMachines = listOf(
     "configuration", "routing", "admission", "pipeline", "ledger", "quarantine", "location", "orders", "cost",
-    "batching", "engine", "discovery", "propagation",
+    "batching", "engine", "discovery", "propagation", "retry",
 ).map { "org.sesamerouter.$it.." }.toTypedArray()
 
 class DependencyRulesSpec :
--- a/src/test/kotlin/serving/CrashFleet.kt
+++ b/src/test/kotlin/serving/CrashFleet.kt
@@ -11,6 +11,8 @@
 import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.quarantine.PartChangeKind
 import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.retry.BucketAllowance
+import org.sesamerouter.retry.SendGate
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.web.RequestLimits
 import java.util.PriorityQueue
@@ -119,7 +121,14 @@
             from.quarantine.parts.heldParts(now).forEach { quarantine.parts.onHeld(it, now) }
         }
 
-        fun newFlows() = RequestFlows(context, table, ServiceTargets(), quarantine, "a") { RetryBudget(0.2, 4.0) }
+        fun newFlows() = RequestFlows(
+            context,
+            table,
+            ServiceTargets(),
+            quarantine,
+            "a",
+            SendGate(BucketAllowance { RetryBudget(0.2, 4.0) }),
+        )
 
         fun setTargets(entries: List<TargetEntry>) {
             val gone = context.targets.filter { it !in entries }
--- a/src/test/kotlin/serving/FlowModels.kt
+++ b/src/test/kotlin/serving/FlowModels.kt
@@ -21,6 +21,8 @@
 import org.sesamerouter.histories
 import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.retry.BucketAllowance
+import org.sesamerouter.retry.SendGate
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.web.RequestLimits
 import kotlin.random.Random
@@ -81,7 +83,7 @@
     val context = FixedFlowContext()
     private val engines = EngineTable().also { it.update(context.targets) }
     val quarantine = Quarantine(deathsToQuarantine = 3)
-    val flows = RequestFlows(context, engines, ServiceTargets(), quarantine, "a", budget)
+    val flows = RequestFlows(context, engines, ServiceTargets(), quarantine, "a", SendGate(BucketAllowance(budget)))
     var now = 0L
 
     fun handle(event: FlowEvent) = flows.handle(event, now)
--- a/src/test/kotlin/serving/RepeatFleetSpec.kt
+++ b/src/test/kotlin/serving/RepeatFleetSpec.kt
@@ -8,6 +8,8 @@
 import org.sesamerouter.engine.EngineTable
 import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.retry.BucketAllowance
+import org.sesamerouter.retry.SendGate
 import org.sesamerouter.routing.ServiceTargets
 import kotlin.random.Random
 
@@ -17,9 +19,8 @@
 private val FAILURES = listOf(Answer.ERROR, Answer.REJECTED, Answer.RESET, Answer.SILENT)
 
 private val hostFlows = FlowsFactory { spec, beliefs, context ->
-    RequestFlows(context, EngineTable(), ServiceTargets(), Quarantine(60_000, 4_096, 3), "a") {
-        RetryBudget(spec.ratio, SLACK_SHARE * spec.slack / beliefs.liveHosts)
-    }
+    val gate = SendGate(BucketAllowance { RetryBudget(spec.ratio, SLACK_SHARE * spec.slack / beliefs.liveHosts) })
+    RequestFlows(context, EngineTable(), ServiceTargets(), Quarantine(60_000, 4_096, 3), "a", gate)
 }
 
 /** Plays fleets of 3 to 40 hosts; returns those in which a window had more repeats than allowed. */
@@ -36,7 +37,11 @@
     FunSpec({
         test("failing targets: requests are repeated within the allowance of any window") {
             overspent(1) { seed, hosts, random ->
-                RepeatSpec(seed, hosts, troubles = listOf(Trouble(2_000, 40_000, random.nextDouble(0.2, 1.0), FAILURES)))
+                RepeatSpec(
+                    seed,
+                    hosts,
+                    troubles = listOf(Trouble(2_000, 40_000, random.nextDouble(0.2, 1.0), FAILURES)),
+                )
             }.shouldBeEmpty()
         }
 
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -228,6 +228,32 @@
                 false
         }
 
+        // Guards against BUDGET: requests whose stage results are gone were sent again without being counted.
+        test("requests with lost inputs are rejected as not run when the allowance is used up") {
+            val atTarget = Host { RetryBudget(0.0, 0.0) }
+            val send = atTarget.arrive(route(RouteKind.STREAM)).sends().single().send
+            val afterSend = atTarget.handle(FlowEvent.SendFailed(send, SendFailure.NotRun(409)))
+            afterSend.sends().shouldBeEmpty()
+            afterSend.rejects().single().status shouldBe 503
+
+            val atStage = Host { RetryBudget(0.0, 0.0) }
+            val job = atStage.arrive(route(RouteKind.STREAM, stages = STAGES), listOf(0, 1, 1)).stageJobs().single().job
+            val gone = JobOutcome(failure = JobFailure.INPUT_GONE)
+            val afterStage = atStage.handle(FlowEvent.StageEnded(job, gone))
+            afterStage.stageJobs().shouldBeEmpty()
+            afterStage.rejects().single().status shouldBe 503
+            afterStage.rejects().single().retryAfterMs.shouldNotBeNull()
+        }
+
+        test("a send that reached no target is no repeat") {
+            val host = Host { RetryBudget(0.0, 0.0) }
+            val refused = host.arrive(route(RouteKind.UNSAFE)).sends().single().send
+            val again = host.handle(FlowEvent.SendFailed(refused, SendFailure.NotSent("refused"))).sends().single()
+            again.pass.reason shouldBe null
+            again.isRepeat shouldBe false
+            host.handle(FlowEvent.SendFailed(again.send, SendFailure.NotRun(503))).sends().shouldBeEmpty()
+        }
+
         test("requests are not repeated beyond the retry budget") {
             val host = Host { RetryBudget(0.0, 1.0) }
             val one = host.arrive(route(RouteKind.SAFE, attempts = 5)).sends().single()
