Divide the slack for repeats by the hosts that may use it, in any window

What targets saw: hosts that are killed together, join or lose each other repeat several times what the users allow to all of them together. Cause: the share of a host was worked out once, from the hosts that it counted as live at its first request for a service, and each start of a process was a full bucket. Change: FleetAllowance. A process has no slack for a window after its start. Repeats are counted in sliding windows, against the requests of half a window earlier, which are known and add up over hosts; a repeat counts as if it arrived up to a second later. Five broken variants fail the same test. The hosts of Site wait until they have slack: its window is 200 ms.

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -20,7 +20,6 @@
 import org.sesamerouter.membership.MemberStatus
 import org.sesamerouter.membership.Membership
 import org.sesamerouter.membership.PeerLink
-import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.platform.FrontSettings
 import org.sesamerouter.platform.StoreClient
 import org.sesamerouter.platform.decodeServingConfig
@@ -30,8 +29,9 @@
 import org.sesamerouter.propagation.OtherHost
 import org.sesamerouter.quarantine.DEATHS_TO_QUARANTINE_SHARED
 import org.sesamerouter.quarantine.Quarantine
-import org.sesamerouter.retry.BucketAllowance
+import org.sesamerouter.retry.RepeatTerms
 import org.sesamerouter.retry.SendGate
+import org.sesamerouter.retry.fleetAllowance
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.routing.TargetNotice
 import org.sesamerouter.routing.rendezvous
@@ -54,6 +54,7 @@
 private const val QUEUE_TICK_MS = 25L // while this host runs a queue of a pool
 private const val REQUEST_TICK_MS = 50L // while it has requests in progress
 private const val IDLE_TICK_MS = 100L
+private const val ALLOWANCE_INTERVAL_MS = 1_000L // between two updates of the gauges
 private const val PERCENT = 100
 private const val MIN_HOSTS_FOR_CALLERS = 16 // from this many on, the owners of queues are left to their queues
 private const val PROBE_INTERVAL_MS = 400L // a dead host is removed from address responses within a few intervals
@@ -62,9 +63,6 @@
 private const val TRIAL_TURN_MS = 8_000L // for each host in turn, if no request with the part comes to one
 private const val TRIAL_START_MS = 4_000L // the first part of a turn, so that the turns of two hosts do not overlap
 
-// Share of the common retry slack that is used; the rest covers restarts and membership changes.
-private const val RETRY_SLACK_SHARE = 0.6
-
 /** A running host. */
 class FrontHost internal constructor(initialSettings: FrontSettings, private val metricsPort: Int?) :
     ExchangeContext,
@@ -109,7 +107,9 @@
         onJobEnded = ::onStageEnded,
     )
     internal val quarantine = Quarantine(QUARANTINE_MS, QUARANTINE_CAPACITY, DEATHS_TO_QUARANTINE_SHARED)
-    private val sendGate = SendGate(BucketAllowance(::newBudget))
+    private val registeredHosts = RegisteredHosts()
+    private val allowance = fleetAllowance(::repeatTerms, clock.nowMs(), ::slackSharers)
+    private val sendGate = SendGate(allowance)
     internal val flows = RequestFlows(
         HostFlowContext(),
         engines,
@@ -126,6 +126,17 @@
     /** When the configuration in force was first in force on any host, as far as this host knows. */
     private var firstInForceMs = 0L
 
+    private var allowancePublishedMs = 0L
+
+    @Volatile
+    private var repeatsLeft: Map<String, Int> = emptyMap()
+
+    @Volatile
+    private var repeatHosts = 0
+
+    @Volatile
+    private var slackShare = 0.0
+
     private var publishedState = Triple(-1L, -1L, -1L)
     private var ownersFor = -1L
     private var knownOwners = emptyList<Member>()
@@ -188,6 +199,8 @@
 
     private fun registerGauges() {
         metrics.gauge("forward.in.progress") { flows.inProgress }
+        metrics.gauge("repeats.hosts") { repeatHosts }
+        metrics.gauge("repeats.slack.share") { slackShare }
         metrics.gauge("quarantine.parts") { quarantine.parts.size }
         metrics.gauge("quarantine.parts.held") { quarantine.parts.heldBack }
         metrics.gauge("stage.waiting") { stages.waiting }
@@ -249,7 +262,8 @@
         peers.onTick(now)
         configuration.onTick(now)
         storeAdapter.onTick(now)
-        sendGate.takeChanges(now).forEach { log.writeAllowance(it, membership.live().size) }
+        sendGate.takeChanges(now).forEach { log.writeAllowance(it, slackSharers()) }
+        publishAllowance(now)
         val isPauseOver = usableTargets.onTick(now)
         if (directory.onTick(now) || isPauseOver) onTargetsChanged(now)
         peerUpdates.onTick(now)
@@ -477,7 +491,10 @@
 
     override fun pauseLeftMs(target: TargetEntry): Long = usableTargets.pauseLeftMs(target, clock.nowMs())
 
-    override fun onHosts(addresses: List<String>) = membership.setSeeds((addresses + settings.seedAddresses).distinct())
+    override fun onHosts(addresses: List<String>) {
+        registeredHosts.onRead(addresses.distinct().size, clock.nowMs())
+        membership.setSeeds((addresses + settings.seedAddresses).distinct())
+    }
 
     override fun liveHosts(): Int = membership.live().size
 
@@ -508,11 +525,23 @@
 
     override fun targetAt(address: String): TargetEntry? = usableTargets.at(address)
 
-    private fun newBudget(): RetryBudget {
-        val hosts = maxOf(1, membership.live().size)
-        return RetryBudget(settings.retryShare, RETRY_SLACK_SHARE * settings.retrySlack / hosts)
+    private fun publishAllowance(now: Long) {
+        if (now - allowancePublishedMs < ALLOWANCE_INTERVAL_MS) return
+        allowancePublishedMs = now
+        val uses = allowance.uses(now)
+        (uses.keys - repeatsLeft.keys).forEach { service ->
+            metrics.gauge("repeats.left", "service", service) { repeatsLeft[service] ?: 0 }
+        }
+        repeatsLeft = uses.mapValues { it.value.left }
+        repeatHosts = slackSharers()
+        slackShare = allowance.slackShare(now)
     }
 
+    private fun repeatTerms() = RepeatTerms(settings.retryShare, settings.retrySlack, settings.retryWindowMs)
+
+    /** Number of hosts that may use a part of the slack: hosts that died some minutes ago at most are still members. */
+    private fun slackSharers(): Int = maxOf(membership.all().size, registeredHosts.count(clock.nowMs()))
+
     private inner class Fleet : FleetView {
         override val version: Long get() = config?.version ?: -1
 
--- a/src/main/kotlin/platform/PlatformSettings.kt
+++ b/src/main/kotlin/platform/PlatformSettings.kt
@@ -18,7 +18,7 @@
  * @property linkAddress the address at which other hosts reach this one; its port is the first of the port range.
  * @property seedAddresses link addresses of some hosts, which may be outdated.
  * @property graceMs time from SIGTERM to SIGKILL.
- * @property retryShare limits the retries of all hosts together, with [retrySlack].
+ * @property retryShare limits the retries of all hosts together, with [retrySlack], in any [retryWindowMs].
  * @property processorShare processor time that this host may use, 1 for one core of the usual speed.
  */
 data class FrontSettings(
@@ -36,6 +36,7 @@
     val retryShare: Double,
     val retrySlack: Double,
     val processorShare: Double = 1.0,
+    val retryWindowMs: Long = (DEFAULT_RETRY_WINDOW_S * MS_PER_S).toLong(),
 )
 
 /** An invalid settings file; [message] says how to fix it. */
@@ -46,6 +47,7 @@
 private const val MAX_ADDRESS_TTL_MS = 2_000L // callers follow a change of hosts within this time
 private const val DEFAULT_RETRY_SHARE = 0.1
 private const val DEFAULT_RETRY_SLACK = 10.0
+private const val DEFAULT_RETRY_WINDOW_S = 10.0
 private const val MS_PER_S = 1_000
 private const val MAX_PORT = 65_535
 private val NUMBERS = listOf(
@@ -53,6 +55,7 @@
     "bounds.ttl_max_s",
     "bounds.retry-ratio",
     "bounds.retry-slack",
+    "bounds.retry-window-s",
     "limits.cpu-share",
     "limits.cores",
 )
@@ -96,6 +99,7 @@
     }
 
     fun number(name: String, default: Double): Double = value(name)?.toDouble() ?: default
+    fun durationMs(name: String, defaultS: Double): Long = (number(name, defaultS) * MS_PER_S).toLong()
     fun required(name: String): String = checkNotNull(value(name))
     val port = firstPort(required("port-range"))
         ?: return Err(SettingsError("invalid port-range; expected FIRST,LAST with ports from 1 to $MAX_PORT"))
@@ -112,11 +116,12 @@
             seedAddresses = value("seeds").orEmpty().split(',').filter { ':' in it }
                 .map { "${it.substringBefore(':').trim()}:$port" },
             storeAddress = required("platform.address"),
-            graceMs = ((value("bounds.grace-s")?.toDoubleOrNull() ?: DEFAULT_GRACE_S) * MS_PER_S).toLong(),
+            graceMs = durationMs("bounds.grace-s", DEFAULT_GRACE_S),
             addressTtlMs = minOf((ttlS * MS_PER_S).toLong(), MAX_ADDRESS_TTL_MS),
-            retryShare = value("bounds.retry-ratio")?.toDoubleOrNull() ?: DEFAULT_RETRY_SHARE,
-            retrySlack = value("bounds.retry-slack")?.toDoubleOrNull() ?: DEFAULT_RETRY_SLACK,
+            retryShare = number("bounds.retry-ratio", DEFAULT_RETRY_SHARE),
+            retrySlack = number("bounds.retry-slack", DEFAULT_RETRY_SLACK),
             processorShare = number("limits.cpu-share", 1.0) * number("limits.cores", 1.0),
+            retryWindowMs = durationMs("bounds.retry-window-s", DEFAULT_RETRY_WINDOW_S),
         ),
     )
 }
--- a/src/main/kotlin/retry/SendGate.kt
+++ b/src/main/kotlin/retry/SendGate.kt
@@ -1,6 +1,6 @@
 /*
- * The one place that lets a request be sent to its service. Each send needs a pass, and only the gate makes passes: one for
- * the first arrival of a request, and one for each further arrival that the allowance pays for.
+ * The one place that lets a request be sent to its service. Each send needs a pass, and only the gate makes passes:
+ * one for the first arrival of a request, and one for each further arrival that the allowance pays for.
  */
 package org.sesamerouter.retry
 
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -315,14 +315,7 @@
 
             is SendFailure.NotAttempted -> sendElsewhere(flow, attempt, now)
 
-            is SendFailure.NotRun -> {
-                val areInputsGone = failure.status == INPUTS_GONE_STATUS
-                when {
-                    !areInputsGone -> resend(flow, now)
-                    mayMakeStagesAgain(flow, RepeatReason.INPUTS_GONE, now) -> makeStagesAgain(flow, now)
-                    else -> fail(flow, RejectReason.TARGETS_REFUSED)
-                }
-            }
+            is SendFailure.NotRun -> onNotRun(flow, failure.status, now)
 
             is SendFailure.FailedAnswer -> {
                 flow.mayHaveRun = true
@@ -346,6 +339,12 @@
         }
     }
 
+    private fun onNotRun(flow: Flow, status: Int, now: Long) = when {
+        status != INPUTS_GONE_STATUS -> resend(flow, now)
+        mayMakeStagesAgain(flow, RepeatReason.INPUTS_GONE, now) -> makeStagesAgain(flow, now)
+        else -> fail(flow, RejectReason.TARGETS_REFUSED)
+    }
+
     /** Gives up a silent target if another one may run the request now; that may have changed since the send. */
     private fun onSendSilent(send: SendId, now: Long) {
         val (flow, attempt) = findSend(send) ?: return
--- a/src/test/kotlin/front/Site.kt
+++ b/src/test/kotlin/front/Site.kt
@@ -24,6 +24,7 @@
 
 internal const val TIMEOUT_S = 30L
 internal val TIMEOUT = TIMEOUT_S.seconds
+private const val RETRY_WINDOW_MS = 200L // a host that has just started repeats nothing for so long
 
 private fun declarations(version: Int, keys: String) = """
     {"version":$version,"routes":[
@@ -78,7 +79,7 @@
             ip = link.substringBefore(':'), dataCentre = "west", requestAddress = freeAddress(),
             readyAddress = freeAddress(), directoryAddress = freeAddress(), linkAddress = link,
             seedAddresses = settings.map { it.linkAddress } + link, storeAddress = storeAddress, graceMs = graceMs,
-            addressTtlMs = 2_000, retryShare = 0.1, retrySlack = retrySlack,
+            addressTtlMs = 2_000, retryShare = 0.1, retrySlack = retrySlack, retryWindowMs = RETRY_WINDOW_MS,
         )
         settings += hostSettings
         metricsPorts += freeAddress().substringAfter(':').toInt()
@@ -100,9 +101,14 @@
 
     fun targetCount(host: Int): Int = metric(host, "targets_known")
 
-    private fun metric(host: Int, name: String): Int =
+    private fun metric(host: Int, name: String): Int = metricText(host, name).toDouble().toInt()
+
+    private fun metricText(host: Int, name: String): String =
         send("${settings[host].ip}:${metricsPorts[host]}", "GET", "/metrics").get().body.lines()
-            .single { it.startsWith("sesamerouter_$name ") }.substringAfterLast(' ').toDouble().toInt()
+            .single { it.startsWith("sesamerouter_$name ") }.substringAfterLast(' ')
+
+    /** Whether [host] may repeat requests that no other requests pay for, as it may some time after its start. */
+    fun mayRepeat(host: Int): Boolean = metricText(host, "repeats_slack_share").toDouble() > 0
 
     fun readiness(host: Int): Int = send(settings[host].readyAddress, "GET", "/v1/ready").get().status
 
@@ -154,6 +160,7 @@
         eventually(TIMEOUT) {
             for (host in 0 until hosts) {
                 readiness(host) shouldBe 200
+                mayRepeat(host) shouldBe true
                 (0 until hosts).forEach { addresses(host) shouldContain requestAddress(it) }
             }
         }
--- a/src/test/kotlin/serving/CrashFleet.kt
+++ b/src/test/kotlin/serving/CrashFleet.kt
@@ -11,7 +11,6 @@
 import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.quarantine.PartChangeKind
 import org.sesamerouter.quarantine.Quarantine
-import org.sesamerouter.retry.BucketAllowance
 import org.sesamerouter.retry.SendGate
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.web.RequestLimits
--- a/src/test/kotlin/serving/FlowModels.kt
+++ b/src/test/kotlin/serving/FlowModels.kt
@@ -21,7 +21,9 @@
 import org.sesamerouter.histories
 import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.quarantine.Quarantine
-import org.sesamerouter.retry.BucketAllowance
+import org.sesamerouter.retry.AllowanceUse
+import org.sesamerouter.retry.RepeatAllowance
+import org.sesamerouter.retry.RepeatReason
 import org.sesamerouter.retry.SendGate
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.web.RequestLimits
@@ -79,6 +81,23 @@
     override fun unloadedStageMs(service: String) = 300.0
 }
 
+/** A token bucket of one host for each service. */
+internal class BucketAllowance(private val newBucket: () -> RetryBudget) : RepeatAllowance {
+    private val buckets = HashMap<String, RetryBudget>()
+
+    private fun bucketOf(service: String) = buckets.getOrPut(service, newBucket)
+
+    override fun onRequest(service: String, now: Long) = bucketOf(service).deposit()
+
+    override fun isLeft(service: String, now: Long) = bucketOf(service).canWithdraw
+
+    override fun tryTake(service: String, reason: RepeatReason, now: Long) = bucketOf(service).tryWithdraw()
+
+    override fun slackShare(now: Long) = 0.0
+
+    override fun uses(now: Long) = emptyMap<String, AllowanceUse>()
+}
+
 internal class Host(budget: () -> RetryBudget = { RetryBudget(1.0, 100.0) }) {
     val context = FixedFlowContext()
     private val engines = EngineTable().also { it.update(context.targets) }
--- a/src/test/kotlin/serving/RepeatFleet.kt
+++ b/src/test/kotlin/serving/RepeatFleet.kt
@@ -1,7 +1,7 @@
 /*
- * A model of a fleet before failing targets. It drives the real decisions of each host on a virtual clock and counts what
- * arrives at the targets: repeats of requests, and requests, over sliding windows. Hosts learn late of each other, are
- * killed together, cut off, join and leave.
+ * A model of a fleet before failing targets. It drives the real decisions of each host on a virtual clock and counts
+ * what arrives at the targets: repeats of requests, and requests, over sliding windows. Hosts learn late of each
+ * other, are killed together, cut off, join and leave.
  */
 package org.sesamerouter.serving
 
@@ -19,6 +19,7 @@
 internal const val RETRY_WINDOW_MS = 10_000L
 
 private const val SERVICE = "model"
+private const val NEW_SERVICE = "new-model"
 private const val POOL = "stock"
 private const val TICK_MS = 50L
 private const val WARM_UP_MS = 15_000L // traffic starts so long after the hosts do
@@ -27,6 +28,8 @@
 private const val DEADLINE_MS = 8_000L
 private const val SILENCE_MS = 700L
 private const val CHECK_STEP_MS = 250L
+private const val SLOW_CONNECT_SHARE = 0.2 // of the sends
+private const val SLOW_CONNECT_MS = 700L
 
 /** How a target answers a request. */
 internal enum class Answer { SERVED, ERROR, REJECTED, RESET, SILENT, INPUTS_GONE, REFUSED }
@@ -40,9 +43,10 @@
 /**
  * @property ratio repeats allowed for each request, for all hosts together, and [slack] besides.
  * @property killsAtMs when all hosts are killed; they start again within a second.
- * @property cutFromMs from when one host is cut off from the others.
+ * @property cutFromMs from when the first [cutHosts] hosts are cut off from each other and from all others.
  * @property joinsAtMs when another host joins.
  * @property leavesAtMs when a host ends for good.
+ * @property movesAtMs from when on requests go to another service.
  */
 internal data class RepeatSpec(
     val seed: Long,
@@ -54,8 +58,10 @@
     val bursts: List<Burst> = emptyList(),
     val killsAtMs: List<Long> = emptyList(),
     val cutFromMs: Long = Long.MAX_VALUE,
+    val cutHosts: Int = 1,
     val joinsAtMs: List<Long> = emptyList(),
     val leavesAtMs: List<Long> = emptyList(),
+    val movesAtMs: Long = Long.MAX_VALUE,
     val lastsMs: Long = 45_000,
 )
 
@@ -67,7 +73,7 @@
     /** Number of hosts that it counts as live, itself included. */
     val liveHosts: Int
 
-    /** Number of hosts that it knows, those that it counts as dead included. */
+    /** Number of hosts that it knows, those that it counts as dead included, or that had registered at its start. */
     val knownHosts: Int
 }
 
@@ -88,10 +94,12 @@
     private var flowNumber = 0L
     private var resultNumber = 0L
     private val hosts = ArrayList<ModelHost>()
-    private val requestTimes = ArrayList<Long>()
-    private val repeatTimes = ArrayList<Long>()
+    private val requestTimes = HashMap<String, MutableList<Long>>()
+    private val repeatTimes = HashMap<String, MutableList<Long>>()
     private val arrived = HashSet<Long>()
-    private val targets = List(8) { target("m$it", SERVICE) }
+    private val targets = listOf(SERVICE, NEW_SERVICE).associateWith { service ->
+        List(8) { target("$service$it", service) }
+    }
     private val route = route(RouteKind.STREAM, resumable = true, attempts = 3, stages = listOf(POOL_STAGE))
         .copy(timeoutMs = DEADLINE_MS)
 
@@ -99,8 +107,10 @@
     var now = -WARM_UP_MS
         private set
 
-    var served = 0
-        private set
+    /** Share of the requests that were served. */
+    val servedShare: Double get() = served.toDouble() / requestTimes.values.sumOf { it.size }
+
+    private var served = 0
 
     private class Scheduled(val atMs: Long, val number: Long, val action: () -> Unit)
 
@@ -108,13 +118,13 @@
         override val config = ServingConfig(
             1,
             emptyList(),
-            mapOf(SERVICE to ServiceSpec(SERVICE, "/health", 64, null, EngineSpec(64, 600_000))),
+            targets.mapValues { ServiceSpec(it.key, "/health", 64, null, EngineSpec(64, 600_000)) },
             emptyList(),
             RequestLimits(),
         )
         override val hasOtherHosts get() = true
 
-        override fun targets(service: String) = this@RepeatFleet.targets
+        override fun targets(service: String) = this@RepeatFleet.targets.getValue(service)
 
         override fun pauseLeftMs(service: String): Long? = null
 
@@ -134,20 +144,22 @@
         override var startedMs = now
         var process = 0
         var isUp = true
-        val isCut: Boolean get() = index == 0 && now >= spec.cutFromMs
+        val isCut: Boolean get() = index < spec.cutHosts && now >= spec.cutFromMs
 
         /** The hosts that this one knows, with when it declares them dead. */
         val known = HashMap<Int, Long>()
         lateinit var flows: RequestFlows
 
         override val liveHosts: Int get() = 1 + known.values.count { it > now }
-        override val knownHosts: Int get() = 1 + known.size
+        override val knownHosts: Int get() = maxOf(registeredHosts, 1 + known.size)
+        private var registeredHosts = 0
 
         fun start() {
             startedMs = now
             isUp = true
             process++
             known.clear()
+            registeredHosts = hosts.size
             flows = factory.create(spec, this, Context())
             hosts.filter { it !== this && it.isUp }.forEach { other ->
                 meet(other, this)
@@ -216,10 +228,11 @@
     }
 
     private fun cut() {
-        val cutOff = hosts.first()
-        for (other in hosts.drop(1)) {
-            other.known.computeIfPresent(cutOff.index) { _, _ -> now + DEATH_KNOWN_MS }
-            cutOff.known.computeIfPresent(other.index) { _, _ -> now + DEATH_KNOWN_MS }
+        val deadAtMs = now + DEATH_KNOWN_MS
+        for (host in hosts) {
+            host.known.replaceAll { other, _ ->
+                if (host.isCut || hosts[other].isCut) deadAtMs else Long.MAX_VALUE
+            }
         }
     }
 
@@ -228,12 +241,13 @@
         val meanMs = 1_000 / (spec.requestsPerS * factor)
         after((meanMs * random.nextDouble(0.5, 1.5)).toLong().coerceAtLeast(1), ::arrive)
         val flow = ++flowNumber
-        requestTimes += now
+        val service = if (now < spec.movesAtMs) SERVICE else NEW_SERVICE
+        requestTimes.getOrPut(service) { ArrayList() } += now
         val host = hosts.filter { it.isUp }.randomOrNull(random) ?: return
         host.handle(
             FlowEvent.Arrived(
                 ForwardRequest(
-                    flow, "id$flow", route, SERVICE, 1, now, now + DEADLINE_MS, DEADLINE_MS, listOf(1), "key",
+                    flow, "id$flow", route, service, 1, now, now + DEADLINE_MS, DEADLINE_MS, listOf(1), "key",
                     fingerprint = "f$flow",
                 ),
             ),
@@ -251,7 +265,8 @@
             }
 
             is FlowEffect.Send -> {
-                val delayMs = random.nextLong(1, 10)
+                val isSlow = random.nextDouble() < SLOW_CONNECT_SHARE
+                val delayMs = if (isSlow) random.nextLong(SLOW_CONNECT_MS) else random.nextLong(1, 10)
                 after(delayMs) { if (host.process == process && host.isUp) reach(effect, ::later) }
             }
 
@@ -276,7 +291,7 @@
             later(2) { FlowEvent.SendFailed(effect.send, SendFailure.NotSent("refused")) }
             return
         }
-        if (!arrived.add(effect.send.flow)) repeatTimes += now
+        if (!arrived.add(effect.send.flow)) repeatTimes.getOrPut(effect.target.service) { ArrayList() } += now
         val delayMs = random.nextLong(2, 60)
         when (answer) {
             Answer.SERVED -> later(delayMs) {
@@ -298,15 +313,14 @@
 
     private fun failed(effect: FlowEffect.Send, failure: SendFailure) = FlowEvent.SendFailed(effect.send, failure)
 
-    /** Counts as the users' rule does: the requests are those of the window, of the one before or half a window before. */
-    private fun worstWindow(): WorstWindow {
-        val starts = (0..spec.lastsMs step CHECK_STEP_MS) + repeatTimes
-        return starts.map { from ->
-            val requests = listOf(0L, RETRY_WINDOW_MS / 2, RETRY_WINDOW_MS)
-                .maxOf { requestTimes.countFrom(from - it) }
-            WorstWindow(from, repeatTimes.countFrom(from), spec.ratio * requests + spec.slack)
-        }.maxBy { it.share }
-    }
+    /** Counts as the users' rule does: requests are those of the window, the one before or half a window before. */
+    private fun worstWindow(): WorstWindow = requestTimes.flatMap { (service, times) ->
+        val repeats = repeatTimes[service].orEmpty()
+        ((0..spec.lastsMs step CHECK_STEP_MS) + repeats).map { from ->
+            val requests = listOf(0L, RETRY_WINDOW_MS / 2, RETRY_WINDOW_MS).maxOf { times.countFrom(from - it) }
+            WorstWindow(from, repeats.countFrom(from), spec.ratio * requests + spec.slack)
+        }
+    }.maxBy { it.share }
 
     private fun List<Long>.countFrom(fromMs: Long): Int = indexOfTime(fromMs + RETRY_WINDOW_MS) - indexOfTime(fromMs)
 
--- a/src/test/kotlin/serving/RepeatFleetSpec.kt
+++ b/src/test/kotlin/serving/RepeatFleetSpec.kt
@@ -3,35 +3,102 @@
  */
 package org.sesamerouter.serving
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
 import org.sesamerouter.engine.EngineTable
 import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.quarantine.Quarantine
-import org.sesamerouter.retry.BucketAllowance
+import org.sesamerouter.retry.RepeatAllowance
+import org.sesamerouter.retry.RepeatReason
+import org.sesamerouter.retry.RepeatTerms
 import org.sesamerouter.retry.SendGate
+import org.sesamerouter.retry.fleetAllowance
 import org.sesamerouter.routing.ServiceTargets
 import kotlin.random.Random
 
 private const val RUNS = 30
-private const val SLACK_SHARE = 0.6
+private const val CONTROL_RUNS = 8
 
 private val FAILURES = listOf(Answer.ERROR, Answer.REJECTED, Answer.RESET, Answer.SILENT)
 
-private val hostFlows = FlowsFactory { spec, beliefs, context ->
-    val gate = SendGate(BucketAllowance { RetryBudget(spec.ratio, SLACK_SHARE * spec.slack / beliefs.liveHosts) })
-    RequestFlows(context, EngineTable(), ServiceTargets(), Quarantine(60_000, 4_096, 3), "a", gate)
+private fun termsOf(spec: RepeatSpec) = RepeatTerms(spec.ratio, spec.slack, RETRY_WINDOW_MS)
+
+private fun factoryOf(newAllowance: (RepeatSpec, HostBeliefs) -> RepeatAllowance) =
+    FlowsFactory { spec, beliefs, context ->
+        val gate = SendGate(newAllowance(spec, beliefs))
+        RequestFlows(context, EngineTable(), ServiceTargets(), Quarantine(60_000, 4_096, 3), "a", gate)
+    }
+
+private val hostFlows = factoryOf { spec, beliefs ->
+    fleetAllowance({ termsOf(spec) }, beliefs.startedMs) { beliefs.knownHosts }
 }
 
+/** An allowance like that of the hosts, except that what [isFree] holds for is not counted. */
+private class LeakyAllowance(private val counted: RepeatAllowance, private val isFree: (RepeatReason) -> Boolean) :
+    RepeatAllowance by counted {
+    override fun tryTake(service: String, reason: RepeatReason, now: Long) =
+        isFree(reason) || counted.tryTake(service, reason, now)
+}
+
+private val INPUT_REASONS = setOf(RepeatReason.INPUTS_GONE, RepeatReason.STAGE_INPUTS_GONE)
+
+/** Broken variants of the allowance, by the fault that each has. */
+private val BROKEN = mapOf(
+    "repeats for lost inputs are free" to factoryOf { spec, beliefs ->
+        val counted = fleetAllowance({ termsOf(spec) }, beliefs.startedMs) { beliefs.knownHosts }
+        LeakyAllowance(counted) { it in INPUT_REASONS }
+    },
+    "a started process has slack at once" to factoryOf { spec, beliefs ->
+        fleetAllowance({ termsOf(spec) }, startedMs = -60_000) { beliefs.knownHosts }
+    },
+    "hosts that have just died leave their slack to others" to factoryOf { spec, beliefs ->
+        fleetAllowance({ termsOf(spec) }, beliefs.startedMs) { beliefs.liveHosts }
+    },
+    "the share is that of the first request" to factoryOf { spec, beliefs ->
+        var hosts = 0
+        fleetAllowance({ termsOf(spec) }, beliefs.startedMs) {
+            if (hosts == 0) hosts = beliefs.liveHosts
+            hosts
+        }
+    },
+    "a token bucket that starts full" to factoryOf { spec, beliefs ->
+        BucketAllowance { RetryBudget(spec.ratio, 0.6 * spec.slack / beliefs.liveHosts) }
+    },
+)
+
 /** Plays fleets of 3 to 40 hosts; returns those in which a window had more repeats than allowed. */
-private fun overspent(first: Int, factory: FlowsFactory = hostFlows, spec: (Long, Int, Random) -> RepeatSpec) =
-    (first until first + RUNS).mapNotNull { seed ->
-        val random = Random(seed)
-        val played = spec(seed.toLong(), random.nextInt(3, 41), random)
-        val worst = RepeatFleet(played, factory).play()
-        println("seed $seed: ${worst.repeats} repeats from ${worst.fromMs} ms on, ${worst.allowed} allowed")
-        "seed $seed: $worst, $played".takeIf { worst.share > 1 }
-    }
+private fun overspent(
+    first: Int,
+    factory: FlowsFactory = hostFlows,
+    runs: Int = RUNS,
+    spec: (Long, Int, Random) -> RepeatSpec,
+) = (first until first + runs).mapNotNull { seed ->
+    val random = Random(seed)
+    val played = spec(seed.toLong(), random.nextInt(3, 41), random)
+    val fleet = RepeatFleet(played, factory)
+    val worst = fleet.play()
+    val repeats = "${worst.repeats} repeats from ${worst.fromMs} ms on, ${worst.allowed} allowed"
+    println("fleet $seed: $repeats, served ${fleet.servedShare}")
+    "seed $seed: $worst, $played".takeIf { worst.share > 1 }
+}
+
+/** Everything fails all the time, while all hosts are killed in series, others join, and half are cut off. */
+private fun worstCase(seed: Long, hosts: Int, random: Random): RepeatSpec {
+    val first = random.nextLong(12_000, 20_000)
+    return RepeatSpec(
+        seed,
+        hosts,
+        requestsPerS = 4.0 * hosts,
+        ratio = 0.05,
+        troubles = listOf(Trouble(0, 45_000, 1.0, FAILURES + Answer.INPUTS_GONE)),
+        killsAtMs = List(4) { first + it * 2_500L },
+        cutFromMs = 2_000,
+        cutHosts = hosts / 2,
+        joinsAtMs = List(hosts / 2) { 3_000 + it * 200L },
+    )
+}
 
 class RepeatFleetSpec :
     FunSpec({
@@ -66,7 +133,7 @@
             }.shouldBeEmpty()
         }
 
-        // Guards against BUDGET: each start of a process was a full allowance again, of a fleet that it did not know yet.
+        // Guards against BUDGET: each start of a process was a full allowance, of a fleet that it did not know yet.
         test("all hosts are killed in series: repeats stay within the allowance of any window") {
             overspent(301) { seed, hosts, random ->
                 val first = random.nextLong(3_000, 12_000)
@@ -86,9 +153,31 @@
                     hosts,
                     troubles = listOf(Trouble(0, 45_000, random.nextDouble(0.5, 1.0), FAILURES)),
                     cutFromMs = random.nextLong(2_000, 20_000),
+                    cutHosts = random.nextInt(1, hosts),
                     joinsAtMs = List(hosts / 2) { 5_000 + it * 700L },
                     leavesAtMs = List(hosts / 2) { 20_000 + it * 500L },
                 )
             }.shouldBeEmpty()
         }
+
+        test("requests move to another service: each service pays for its own repeats") {
+            overspent(501) { seed, hosts, random ->
+                val movesAt = random.nextLong(8_000, 25_000)
+                RepeatSpec(
+                    seed,
+                    hosts,
+                    troubles = listOf(Trouble(movesAt - 3_000, movesAt + 10_000, 1.0, FAILURES + Answer.INPUTS_GONE)),
+                    movesAtMs = movesAt,
+                )
+            }.shouldBeEmpty()
+        }
+
+        test("each broken variant of the allowance sends more repeats than allowed in some fleet") {
+            for ((fault, factory) in BROKEN) {
+                withClue(fault) {
+                    overspent(601, factory, CONTROL_RUNS, ::worstCase).shouldNotBeEmpty()
+                }
+            }
+            overspent(601, hostFlows, CONTROL_RUNS, ::worstCase).shouldBeEmpty()
+        }
     })
