Log and count the answers that end no call, and the connection of each resend

An answer that a target sent where another one was due left no trace: it was skipped, or its connection closed, without a line. Each now writes one bounded line (answer-unused: kind, address, its id, the id that waits, status, bytes skipped or the cause) and counts in sesamerouter_forward_answers_unused_total by kind. A send after the first writes a line resend with the request's id, so that a caller's id leads to its sends, and whether its connection was kept or new. web/ knows an interface only. No decision changes.

--- a/src/main/kotlin/front/CallerExchange.kt
+++ b/src/main/kotlin/front/CallerExchange.kt
@@ -54,6 +54,7 @@
     val context: ExchangeContext,
     val clock: Clock,
     val metrics: FrontMetrics,
+    val log: DecisionLog,
     val remove: () -> Unit,
 )
 
@@ -109,6 +110,10 @@
         val next = TargetSend(effect.send, effect.target)
         currentSend = next
         next.call = deps.client.send(effect.target.address, outgoing, next, effect.maxConnections)
+        if (effect.send.number > 1) {
+            val isKept = next.call?.isOnKeptConnection == true
+            deps.log.writeResend(request.id, effect.send.flow, effect.send.number, isKept)
+        }
         incoming.onWritable = { next.call?.setReading(true) }
     }
 
--- a/src/main/kotlin/front/CallerExchanges.kt
+++ b/src/main/kotlin/front/CallerExchanges.kt
@@ -86,7 +86,7 @@
                     request,
                     incoming,
                     organisation?.name,
-                    ExchangeDependencies(client, context, clock, metrics) { exchanges.remove(request.flow) },
+                    ExchangeDependencies(client, context, clock, metrics, log) { exchanges.remove(request.flow) },
                 )
                 exchanges[request.flow] = exchange
                 incoming.onClosed = {
--- a/src/main/kotlin/front/DecisionLines.kt
+++ b/src/main/kotlin/front/DecisionLines.kt
@@ -5,6 +5,7 @@
 
 import org.sesamerouter.discovery.EntryChange
 import org.sesamerouter.serving.FlowEffect
+import org.sesamerouter.web.UnusedAnswer
 
 private const val MAX_LOGGED_IDS = 6
 private const val MAX_LOGGED_ID_LENGTH = 32
@@ -51,6 +52,27 @@
     }
 }
 
+/** Writes an answer that ended no call, and the id of the request that waits on its connection. */
+internal fun DecisionLog.writeUnusedAnswer(answer: UnusedAnswer) = write(
+    "answer-unused",
+    "kind" to answer.kind,
+    "address" to answer.address,
+    "id" to answer.id,
+    "waiting" to answer.waitingId,
+    "status" to answer.status,
+    "bytes" to answer.bytes,
+    "cause" to answer.cause,
+)
+
+/** Writes that the send [number] of a request goes out, and whether on a connection that was used before. */
+internal fun DecisionLog.writeResend(request: String, flow: Long, number: Int, isOnKeptConnection: Boolean) = write(
+    "resend",
+    "request" to request.take(MAX_LOGGED_ID_LENGTH),
+    "flow" to flow,
+    "send" to number,
+    "connection" to if (isOnKeptConnection) "kept" else "new",
+)
+
 /** Writes what this host believes about a part of prompts from now on, and the crashes that count against it. */
 internal fun DecisionLog.writePartChange(effect: FlowEffect.QuarantineChanged) = write(
     "part",
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -81,8 +81,11 @@
     private val loopLag = measureLoopLag(eventLoop, clock)
     private val bodyBudget =
         bodyBudgetOfHeap { bytes, used -> log.write("body-rejected", "bytes" to bytes, "used-bytes" to used) }
-    private val client = ForwardClient(eventLoop, clock)
     private val metrics = FrontMetrics()
+    private val client = ForwardClient(eventLoop, clock) {
+        metrics.countUnusedAnswer(it.kind)
+        log.writeUnusedAnswer(it)
+    }
     internal val directory = TargetDirectory()
     private val usableTargets = UsableTargets(directory)
     internal val engines = EngineTable()
--- a/src/main/kotlin/front/FrontMetrics.kt
+++ b/src/main/kotlin/front/FrontMetrics.kt
@@ -10,6 +10,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.sesamerouter.quarantine.PartChangeKind
 import org.sesamerouter.serving.Repeat
+import org.sesamerouter.web.UnusedKind
 
 private val LATENCY_BUCKETS_MS = doubleArrayOf(50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0)
 
@@ -39,6 +40,10 @@
     fun countLost(isBegun: Boolean) =
         registry.counter("sesamerouter.forward.lost", "begun", isBegun.toString()).increment()
 
+    /** Counts an answer that ended no call. */
+    fun countUnusedAnswer(kind: UnusedKind) =
+        registry.counter("sesamerouter.forward.answers.unused", "kind", kind.name).increment()
+
     /** Counts a request that its [service] gets again. */
     fun countRepeat(service: String, repeat: Repeat) = registry.counter(
         "sesamerouter.forward.repeats",
--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -104,6 +104,10 @@
     internal var connection: ForwardConnection? = null
     internal var isCancelled = false
 
+    /** Whether its connection has carried another call before. */
+    var isOnKeptConnection = false
+        internal set
+
     /** Cancels the call and closes its connection; the listener is not called any more. */
     fun cancel() {
         if (loop.inEventLoop()) cancelNow() else loop.execute(::cancelNow)
@@ -126,8 +130,12 @@
     var open = 0
 }
 
-/** An HTTP client that reuses connections. */
-class ForwardClient(private val loop: EventLoop, internal val clock: Clock) {
+/** An HTTP client that reuses connections; [unusedAnswers] is told of answers that end no call. */
+class ForwardClient(
+    private val loop: EventLoop,
+    internal val clock: Clock,
+    internal val unusedAnswers: UnusedAnswers = UnusedAnswers { },
+) {
     private val pools = HashMap<String, ConnectionPool>()
 
     /** Number of connections opened so far. */
--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -42,6 +42,10 @@
     private var isSkippingResponse = false
     private var framing = BodyFraming.LENGTH
     private var keepAlive = true
+    private var hasCarriedCall = false
+
+    /** The answer that is being skipped; null if none is. */
+    private var skipped: UnusedAnswer? = null
 
     /** What failed before the end of the connection; null if nothing did. */
     private var breakage: CallFailure? = null
@@ -55,6 +59,8 @@
         this.listener = listener
         this.call = call
         call.connection = this
+        call.isOnKeptConnection = hasCarriedCall
+        hasCarriedCall = true
         request.usedConnections?.add(this)
         responseId = request.responseId
         method = HttpMethod.valueOf(request.method)
@@ -93,25 +99,31 @@
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
         if (message.decoderResult().isFailure) {
+            report(UnusedKind.INVALID, message as? HttpResponse, message.decoderResult().cause().message)
             breakOff(BreakReason.INVALID, "invalid response: ${message.decoderResult().cause().message}")
             return
         }
         if (message is HttpResponse) onHead(message)
-        if (message is HttpContent && !isSkippingResponse) onContent(ctx, message)
-        if (message is LastHttpContent && isSkippingResponse) isSkippingResponse = false
+        if (message is HttpContent) {
+            if (isSkippingResponse) onSkipped(message) else onContent(ctx, message)
+        }
     }
 
     private fun onHead(response: HttpResponse) {
         val activeListener = listener
         if (activeListener == null || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             isSkippingResponse = true
-            if (activeListener == null) channel.close()
+            if (activeListener == null) {
+                report(UnusedKind.UNASKED, response, "no call waits")
+                channel.close()
+            }
             return
         }
         val expected = responseId
         val actual = expected?.let { response.headers().get(it.header) }
         if (actual != null && actual != expected.value) {
             isSkippingResponse = true
+            skipped = unusedAnswer(UnusedKind.SKIPPED, response).copy(bytes = 0)
             return
         }
         isHeadReceived = true
@@ -123,6 +135,29 @@
         activeListener.onHead(response.status().code(), response.headers(), framing)
     }
 
+    private fun onSkipped(content: HttpContent) {
+        skipped = skipped?.let { it.copy(bytes = (it.bytes ?: 0) + content.content().readableBytes()) }
+        if (content !is LastHttpContent) return
+        isSkippingResponse = false
+        reportSkipped()
+    }
+
+    private fun reportSkipped() {
+        skipped?.let(client.unusedAnswers::onUnused)
+        skipped = null
+    }
+
+    private fun report(kind: UnusedKind, response: HttpResponse?, cause: String?) {
+        if (channel.isOpen) client.unusedAnswers.onUnused(unusedAnswer(kind, response).copy(cause = cause?.cutCause()))
+    }
+
+    private fun unusedAnswer(kind: UnusedKind, response: HttpResponse?): UnusedAnswer {
+        val validHead = response?.takeIf { it.decoderResult().isSuccess }
+        val id = responseId?.let { validHead?.headers()?.get(it.header) }?.cutId()
+        val waitingId = responseId?.value?.takeIf { listener != null }?.cutId()
+        return UnusedAnswer(kind, address, id, waitingId, validHead?.status()?.code())
+    }
+
     private fun onContent(ctx: ChannelHandlerContext, content: HttpContent) {
         val activeListener = listener
         if (activeListener == null || !isHeadReceived) {
@@ -150,6 +185,7 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         client.onConnectionClosed(this)
+        reportSkipped()
         val activeListener = listener
         listener = null
         activeListener?.onFailed(breakage ?: closedFailure())
@@ -178,6 +214,7 @@
         if (cause is IOException) {
             breakOff(BreakReason.RESET, "connection reset")
         } else {
+            report(UnusedKind.INVALID, null, cause.message)
             breakOff(BreakReason.INVALID, "invalid response: ${cause.message}")
         }
     }
--- a/src/test/kotlin/serving/RepeatFleet.kt
+++ b/src/test/kotlin/serving/RepeatFleet.kt
@@ -311,8 +311,7 @@
     private fun List<Long>.countFrom(fromMs: Long): Int = indexOfTime(fromMs + RETRY_WINDOW_MS) - indexOfTime(fromMs)
 
     /** Index of the first of these ordered times that is at least [timeMs]. */
-    private fun List<Long>.indexOfTime(timeMs: Long): Int =
-        binarySearch { if (it < timeMs) -1 else 1 }.let { -it - 1 }
+    private fun List<Long>.indexOfTime(timeMs: Long): Int = binarySearch { if (it < timeMs) -1 else 1 }.let { -it - 1 }
 
     private companion object {
         val POOL_STAGE = StageSpec(POOL, emptyList(), 8_000)
--- a/src/test/kotlin/serving/RepeatFleetSpec.kt
+++ b/src/test/kotlin/serving/RepeatFleetSpec.kt
@@ -36,7 +36,11 @@
     FunSpec({
         test("failing targets: requests are repeated within the allowance of any window") {
             overspent(1) { seed, hosts, random ->
-                RepeatSpec(seed, hosts, troubles = listOf(Trouble(2_000, 40_000, random.nextDouble(0.2, 1.0), FAILURES)))
+                RepeatSpec(
+                    seed,
+                    hosts,
+                    troubles = listOf(Trouble(2_000, 40_000, random.nextDouble(0.2, 1.0), FAILURES)),
+                )
             }.shouldBeEmpty()
         }
 
