--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -124,6 +124,31 @@
     }
 }
 
+/** What a connection needs of its client. */
+internal interface ConnectionOwner {
+    val clock: Clock
+    val unusedAnswers: UnusedAnswers
+
+    /** Takes back [connection], which may carry the next call. */
+    fun returnToPool(connection: ForwardConnection)
+
+    fun onConnectionClosed(connection: ForwardConnection)
+}
+
+/** Sets up [channel] as a connection to [address]. */
+internal fun forwardConnection(channel: Channel, address: String, owner: ConnectionOwner): ForwardConnection {
+    val inputEnd = InputEnd()
+    val byteLimit = ResponseByteLimit()
+    val connection = ForwardConnection(channel, address, owner, inputEnd, byteLimit)
+    channel.pipeline()
+        .addLast(inputEnd)
+        .addLast(byteLimit)
+        .addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+        .addLast(BodyPartJoiner())
+        .addLast(connection)
+    return connection
+}
+
 /** The connections to one address. */
 private class ConnectionPool {
     val idle = ArrayDeque<ForwardConnection>()
@@ -133,8 +158,8 @@
 /** An HTTP client that reuses connections; [unusedAnswers] is told of answers that end no call. */
 class ForwardClient(
     private val loop: EventLoop,
-    internal val clock: Clock,
-    internal val unusedAnswers: UnusedAnswers = UnusedAnswers { },
+    private val clock: Clock,
+    private val unusedAnswers: UnusedAnswers = UnusedAnswers { },
 ) {
     private val pools = HashMap<String, ConnectionPool>()
 
@@ -142,6 +167,21 @@
     var openedConnections = 0L
         private set
 
+    private val owner = object : ConnectionOwner {
+        override val clock get() = this@ForwardClient.clock
+        override val unusedAnswers get() = this@ForwardClient.unusedAnswers
+
+        override fun returnToPool(connection: ForwardConnection) {
+            poolOf(connection.address).idle.addLast(connection)
+        }
+
+        override fun onConnectionClosed(connection: ForwardConnection) {
+            val pool = poolOf(connection.address)
+            pool.open--
+            pool.idle.remove(connection)
+        }
+    }
+
     init {
         loop.scheduleAtFixedRate(::closeIdleConnections, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS)
     }
@@ -184,14 +224,7 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    val inputEnd = InputEnd()
-                    val byteLimit = ResponseByteLimit()
-                    channel.pipeline()
-                        .addLast(inputEnd)
-                        .addLast(byteLimit)
-                        .addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
-                        .addLast(BodyPartJoiner())
-                        .addLast(ForwardConnection(channel, address, this@ForwardClient, inputEnd, byteLimit))
+                    forwardConnection(channel, address, owner)
                 }
             })
             .connect(socketAddress(address))
@@ -225,16 +258,6 @@
 
     private fun connectionOf(channel: Channel) = channel.pipeline().get(ForwardConnection::class.java)
 
-    internal fun returnToPool(connection: ForwardConnection) {
-        poolOf(connection.address).idle.addLast(connection)
-    }
-
-    internal fun onConnectionClosed(connection: ForwardConnection) {
-        val pool = poolOf(connection.address)
-        pool.open--
-        pool.idle.remove(connection)
-    }
-
     private fun takeIdle(address: String, used: UsedConnections?): ForwardConnection? {
         val idle = pools[address]?.idle ?: return null
         for (i in idle.indices.reversed()) {
--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -28,7 +28,7 @@
 internal class ForwardConnection(
     val channel: Channel,
     val address: String,
-    private val client: ForwardClient,
+    private val client: ConnectionOwner,
     private val inputEnd: InputEnd,
     private val byteLimit: ResponseByteLimit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
