Decide whose an answer is in one place, by what the answer and its connection show

What callers saw: answers that were not their own (MIXED). Cause: whose an answer is was told by the place where it came. An answer without an id was that of whichever call waited; the decoder read a skipped copy with the method of the call that waited; a connection carried the next call while data that was read with the last answer was still to be decoded.

ConnectionCalls decides for each head: of the call that waits (its id, or no id where nothing else was ever sent on the connection), interim, of another request (skipped), of none (the connection is closed and the call fails as INVALID), not asked for. The decoder asks it whether an answer has a body, in place of the queue of methods of HttpClientCodec; a connection that carried HEAD is not used again, so every copy is read like an answer to the other methods. A skipped copy whose end is the end of the connection, two ids, and 101 fail the call at once. A call ends when what was read with the end of its answer is decoded; a connection with a part of a message left is closed.

--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -1,6 +1,6 @@
 /*
- * The HTTP client that forwards requests to targets and calls the platform, without changing bodies. It matches
- * responses with requests by id, distinguishes complete responses from truncated ones, and reports whether a failed
+ * The HTTP client that forwards requests to targets and calls the platform, without changing bodies. [ConnectionCalls]
+ * decides whose a response is. The client distinguishes complete responses from truncated ones, and reports whether a failed
  * request certainly never left this host or may have been received. An id names a request and not one send of it, so a
  * request that is sent again uses connections that it was not on. All calls and callbacks run on one event loop.
  * Bytes that belong to no response are bounded by [ResponseByteLimit].
@@ -17,8 +17,8 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
 import org.sesamerouter.clock.Clock
 import java.net.ConnectException
@@ -28,9 +28,6 @@
 private const val IDLE_TIMEOUT_MS = 20_000L
 private const val IDLE_TIMEOUT_MARGIN_MS = 400L // connections this close to the announced timeout are not reused
 private const val IDLE_CHECK_MS = 1_000L
-private const val MAX_LINE_BYTES = 8_192
-private const val MAX_HEAD_BYTES = 32_768
-private const val MAX_CHUNK_BYTES = 16_384
 private const val KEEP_ALIVE_IDLE_S = 1
 private const val KEEP_ALIVE_INTERVAL_S = 1
 private const val KEEP_ALIVE_PROBES = 2
@@ -135,15 +132,23 @@
     fun onConnectionClosed(connection: ForwardConnection)
 }
 
-/** Sets up [channel] as a connection to [address]. */
-internal fun forwardConnection(channel: Channel, address: String, owner: ConnectionOwner): ForwardConnection {
+/** Sets up [channel] as a connection to [address]; [rule] decides whose an answer is. */
+internal fun forwardConnection(
+    channel: Channel,
+    address: String,
+    owner: ConnectionOwner,
+    rule: OwnerRule = OwnerById,
+): ForwardConnection {
     val inputEnd = InputEnd()
     val byteLimit = ResponseByteLimit()
-    val connection = ForwardConnection(channel, address, owner, inputEnd, byteLimit)
+    val calls = ConnectionCalls(rule)
+    val decoder = AnswerDecoder(calls)
+    val connection = ForwardConnection(channel, address, owner, inputEnd, byteLimit, calls, decoder)
     channel.pipeline()
         .addLast(inputEnd)
         .addLast(byteLimit)
-        .addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+        .addLast(HttpRequestEncoder())
+        .addLast(decoder)
         .addLast(BodyPartJoiner())
         .addLast(connection)
     return connection
--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -1,6 +1,7 @@
 /*
- * One connection to a target. It handles one call at a time. A response with an id other than that of the call is
- * skipped, and data received outside a call closes the connection.
+ * One connection to a target. It handles one call at a time; [ConnectionCalls] decides whose a response is. Data
+ * received outside a call closes the connection. A call ends, and its connection may carry the next one, only when all
+ * data that was read with the end of the response is decoded.
  */
 package org.sesamerouter.web
 
@@ -15,7 +16,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit
 
 private const val READ_AFTER_FAILED_WRITE_MS = 200L // the data that has arrived is read in the next rounds
+private const val NO_CALL = "no call waits"
 private val KEEP_ALIVE_SECONDS = Regex("""timeout=(\d+)""")
 
 internal class ForwardConnection(
@@ -31,17 +32,20 @@
     private val client: ConnectionOwner,
     private val inputEnd: InputEnd,
     private val byteLimit: ResponseByteLimit,
+    private val calls: ConnectionCalls,
+    private val decoder: AnswerDecoder,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var listener: ResponseListener? = null
+
+    /** The listener of a call whose response is complete, until the data that was read with it is decoded. */
+    private var ended: ResponseListener? = null
     private var call: ForwardCall? = null
-    private var responseId: ResponseId? = null
-    private var method = HttpMethod.GET
     private var isRequestWritten = false
     private var writeFailure: Throwable? = null
     private var isHeadReceived = false
     private var isSkippingResponse = false
     private var framing = BodyFraming.LENGTH
-    private var keepAlive = true
+    private var mayBeKept = true
     private var hasCarriedCall = false
 
     /** The answer that is being skipped; null if none is. */
@@ -52,7 +56,7 @@
     private var idleSinceMs = 0L
     private var idleTimeoutMs = ForwardClient.idleTimeoutMs(null)
 
-    fun isReusable(now: Long): Boolean = channel.isActive && now - idleSinceMs < idleTimeoutMs
+    fun isReusable(now: Long): Boolean = channel.isActive && breakage == null && now - idleSinceMs < idleTimeoutMs
 
     fun start(request: OutgoingRequest, listener: ResponseListener, call: ForwardCall) {
         byteLimit.isInResponse = false
@@ -62,8 +66,8 @@
         call.isOnKeptConnection = hasCarriedCall
         hasCarriedCall = true
         request.usedConnections?.add(this)
-        responseId = request.responseId
-        method = HttpMethod.valueOf(request.method)
+        val method = HttpMethod.valueOf(request.method)
+        calls.begin(ConnectionCall(request.responseId, method))
         isRequestWritten = false
         isHeadReceived = false
         isSkippingResponse = false
@@ -94,10 +98,12 @@
     /** Closes the connection without notifying the listener of the call. */
     fun closeSilently() {
         listener = null
+        ended = null
         channel.close()
     }
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
+        if (breakage != null) return
         if (message.decoderResult().isFailure) {
             report(UnusedKind.INVALID, message as? HttpResponse, message.decoderResult().cause().message)
             breakOff(BreakReason.INVALID, "invalid response: ${message.decoderResult().cause().message}")
@@ -105,34 +111,44 @@
         }
         if (message is HttpResponse) onHead(message)
         if (message is HttpContent) {
-            if (isSkippingResponse) onSkipped(message) else onContent(ctx, message)
+            if (isSkippingResponse) onSkipped(message) else onContent(message)
         }
     }
 
     private fun onHead(response: HttpResponse) {
-        val activeListener = listener
-        if (activeListener == null || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            isSkippingResponse = true
-            if (activeListener == null) {
-                report(UnusedKind.UNASKED, response, "no call waits")
-                channel.close()
+        when (calls.ownerOf(response)) {
+            AnswerOwner.WAITING -> onOwnHead(response)
+
+            AnswerOwner.INTERIM -> isSkippingResponse = true
+
+            AnswerOwner.OTHER -> {
+                isSkippingResponse = true
+                if (!HttpUtil.isKeepAlive(response)) mayBeKept = false
+                skipped = unusedAnswer(UnusedKind.SKIPPED, response).copy(bytes = 0)
+            }
+
+            AnswerOwner.NONE -> {
+                val cause = "nothing shows that the response is that to this call"
+                report(UnusedKind.UNOWNED, response, cause)
+                breakOff(BreakReason.INVALID, cause)
+            }
+
+            AnswerOwner.UNASKED -> {
+                report(UnusedKind.UNASKED, response, NO_CALL)
+                breakOff(BreakReason.INVALID, NO_CALL)
             }
-            return
-        }
-        val expected = responseId
-        val actual = expected?.let { response.headers().get(it.header) }
-        if (actual != null && actual != expected.value) {
-            isSkippingResponse = true
-            skipped = unusedAnswer(UnusedKind.SKIPPED, response).copy(bytes = 0)
-            return
         }
+    }
+
+    private fun onOwnHead(response: HttpResponse) {
+        val call = checkNotNull(calls.waiting)
         isHeadReceived = true
         byteLimit.isInResponse = true
-        keepAlive = HttpUtil.isKeepAlive(response)
+        if (!HttpUtil.isKeepAlive(response)) mayBeKept = false
         val announced = response.headers().get("Keep-Alive")?.let { KEEP_ALIVE_SECONDS.find(it) }
         idleTimeoutMs = ForwardClient.idleTimeoutMs(announced?.groupValues?.get(1)?.toLongOrNull())
-        framing = framingOf(response, method)
-        activeListener.onHead(response.status().code(), response.headers(), framing)
+        framing = framingOf(response, call.method)
+        listener?.onHead(response.status().code(), response.headers(), framing)
     }
 
     private fun onSkipped(content: HttpContent) {
@@ -153,19 +169,21 @@
 
     private fun unusedAnswer(kind: UnusedKind, response: HttpResponse?): UnusedAnswer {
         val validHead = response?.takeIf { it.decoderResult().isSuccess }
-        val id = responseId?.let { validHead?.headers()?.get(it.header) }?.cutId()
-        val waitingId = responseId?.value?.takeIf { listener != null }?.cutId()
+        val id = calls.idHeader?.let { validHead?.headers()?.get(it) }?.cutId()
+        val waitingId = calls.waiting?.id?.value?.cutId()
         return UnusedAnswer(kind, address, id, waitingId, validHead?.status()?.code())
     }
 
-    private fun onContent(ctx: ChannelHandlerContext, content: HttpContent) {
-        val activeListener = listener
-        if (activeListener == null || !isHeadReceived) {
-            if (activeListener == null) ctx.close()
-            return
-        }
+    private fun onContent(content: HttpContent) {
+        val activeListener = listener ?: return
+        if (!isHeadReceived) return
         if (content.content().isReadable) activeListener.onBody(content.content())
-        if (content is LastHttpContent && listener === activeListener && isComplete()) end(activeListener)
+        if (content is LastHttpContent && listener === activeListener && isComplete()) {
+            listener = null
+            ended = activeListener
+            calls.end()
+            byteLimit.isInResponse = false
+        }
     }
 
     private fun isComplete() = breakage == null && (framing != BodyFraming.CONNECTION_END || isEndedInOrder)
@@ -173,19 +191,33 @@
     /** A reset that a failed write has reported is read as an orderly end afterwards. */
     private val isEndedInOrder get() = inputEnd.isReached && writeFailure == null
 
-    private fun end(activeListener: ResponseListener) {
-        listener = null
-        byteLimit.isInResponse = false
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        if (listener == null && decoder.hasPartOfMessage && breakage == null) {
+            report(UnusedKind.UNASKED, null, NO_CALL)
+            breakOff(BreakReason.INVALID, NO_CALL)
+        }
+        end()
+        super.channelReadComplete(ctx)
+    }
+
+    /** Ends the call whose response is complete. */
+    private fun end() {
+        val endedListener = ended ?: return
+        ended = null
         idleSinceMs = client.clock.nowMs()
         channel.config().isAutoRead = true
-        // A target that responds before it has read the whole request treats the next bytes as the rest of it.
-        if (keepAlive && isRequestWritten && channel.isActive) client.returnToPool(this) else channel.close()
-        activeListener.onEnd()
+        if (isKeepable()) client.returnToPool(this) else channel.close()
+        endedListener.onEnd()
     }
 
+    /** A target that responds before it has read the whole request treats the next bytes as the rest of it. */
+    private fun isKeepable() = mayBeKept && calls.mayFollow && isRequestWritten && breakage == null &&
+        !inputEnd.isReached && channel.isActive
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         client.onConnectionClosed(this)
         reportSkipped()
+        end()
         val activeListener = listener
         listener = null
         activeListener?.onFailed(breakage ?: closedFailure())
@@ -206,7 +238,9 @@
 
     /** Closes the connection at the end of its input, which the decoder has handled by now. */
     override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
-        if (event is ChannelInputShutdownEvent) ctx.close()
+        if (event !is ChannelInputShutdownEvent) return
+        end()
+        ctx.close()
     }
 
     @Deprecated("Netty still calls this function.")
--- a/src/test/kotlin/web/ConnectionHistories.kt
+++ b/src/test/kotlin/web/ConnectionHistories.kt
@@ -94,7 +94,7 @@
 }
 
 /** Plays the history of [seed]; the failures say which call was given what is not its own, or not whole. */
-internal class ConnectionHistory(private val seed: Long) : AutoCloseable {
+internal class ConnectionHistory(private val seed: Long, rule: OwnerRule = OwnerById) : AutoCloseable {
     private val random = Random(seed)
     private val channel = EmbeddedChannel()
     private var idle: ForwardConnection? = null
@@ -118,6 +118,7 @@
                 idle = null
             }
         },
+        rule,
     )
 
     /** Number of calls that were given their answers. */
