Let calls without ids share connections only with calls that cannot be taken for theirs

An answer to a free, a space report or a health check bears no id. A second copy of it ended the next call without an id on the same connection: a report of free space got the answer to a free, a check that to another call. Each call now says with which others it may share a connection: requests with ids and stage calls share one (a stage call's listener has to confirm the answer as its own, by a new handle, or the connection is closed); frees, whose answers nobody relies on, share one with frees; the store's, which answers once, with the store's; reports and checks get one of their own that is closed afterwards. A call gives up its connection when it ends, so that a late cancel cannot close the one of the next call.

--- a/src/main/kotlin/front/StageCallAdapter.kt
+++ b/src/main/kotlin/front/StageCallAdapter.kt
@@ -1,7 +1,7 @@
 /*
  * Sends the calls that the queues of stage pools start to their targets. Answers bear no id, so only their order on a
- * connection tells which call they belong to: a connection is used again only after an answer that is shown to be that
- * of its call, by the handle of a new result. After any other answer, the one that is due might still follow.
+ * connection tells which call they belong to: an answer is confirmed as that of its call by the handle of a new result.
+ * After any other answer, the one that is due might still follow, and the connection is not used again.
  */
 package org.sesamerouter.front
 
@@ -53,7 +53,7 @@
         eventLoop.execute {
             val reply = BufferedReply({ onNotice(call.target, it) }) { reply, status, isNotRun, body ->
                 val outcome = outcomeOf(call, status, isNotRun, body)
-                if (!hasNewResult(outcome)) reply.closeConnection()
+                if (hasNewResult(outcome)) reply.confirm()
                 if (outcome !is CallOutcome.Answered) {
                     log.write("stage-call-failed", "call" to call.call, "target" to call.target.id, "why" to outcome)
                 }
@@ -157,8 +157,8 @@
         onReply(this, status, isNotRun, text)
     }
 
-    /** Closes the connection, also after the end of the call: what still arrives there belongs to no other call. */
-    fun closeConnection() {
-        call?.cancel()
+    /** Says that the reply is that of its call. */
+    fun confirm() {
+        call?.confirmOwnAnswer()
     }
 }
--- a/src/main/kotlin/front/StartupProbe.kt
+++ b/src/main/kotlin/front/StartupProbe.kt
@@ -17,6 +17,7 @@
 import org.sesamerouter.platform.READY_PATH
 import org.sesamerouter.web.BodyFraming
 import org.sesamerouter.web.CallFailure
+import org.sesamerouter.web.ConnectionSharing
 import org.sesamerouter.web.ForwardClient
 import org.sesamerouter.web.OutgoingRequest
 import org.sesamerouter.web.RequestLimits
@@ -59,7 +60,8 @@
     }
 
     val endMs = clock.nowMs() + TIMEOUT_MS
-    val ready = OutgoingRequest("GET", READY_PATH, DefaultHttpHeaders().set("Host", "probe"), ByteArray(0))
+    val headers = DefaultHttpHeaders().set("Host", "probe")
+    val ready = OutgoingRequest("GET", READY_PATH, headers, ByteArray(0), sharing = ConnectionSharing.IN_ORDER)
     while (statusOf(settings.readyAddress, ready) != OK) {
         check(clock.nowMs() < endMs) { "the host is not ready after $TIMEOUT_MS ms" }
         Thread.sleep(POLL_MS)
--- a/src/main/kotlin/front/TargetChecks.kt
+++ b/src/main/kotlin/front/TargetChecks.kt
@@ -1,5 +1,6 @@
 /*
- * Checks whether a target that lost a response still runs: it asks for its health on a connection of its own.
+ * Checks whether a target that lost a response still runs: it asks for its health on a connection of its own,
+ * since the answer bears no id.
  */
 package org.sesamerouter.front
 
--- a/src/main/kotlin/platform/StageCalls.kt
+++ b/src/main/kotlin/platform/StageCalls.kt
@@ -8,6 +8,7 @@
 import org.sesamerouter.batching.CallItem
 import org.sesamerouter.batching.PieceOutcome
 import org.sesamerouter.discovery.TargetEntry
+import org.sesamerouter.web.ConnectionSharing
 import org.sesamerouter.web.OutgoingRequest
 
 private const val BYTES_PER_MB = 1_000_000.0
@@ -44,12 +45,15 @@
         val inputs = piece.inputs.ifEmpty { null }
         WireItem(item.request, item.stage, piece.number, item.leftMs, piece.key, inputs)
     }
-    return post(target, "/v1/stage-run", platformJson.encodeToString(WireItems.serializer(), WireItems(wire)))
+    val body = platformJson.encodeToString(WireItems.serializer(), WireItems(wire))
+    return post(target, "/v1/stage-run", body, ConnectionSharing.SHARED)
 }
 
 /** Encodes the call that frees [handles] at [target]. */
-fun encodeStageFree(target: TargetEntry, handles: List<String>): OutgoingRequest =
-    post(target, "/v1/stage-free", platformJson.encodeToString(WireHandles.serializer(), WireHandles(handles)))
+fun encodeStageFree(target: TargetEntry, handles: List<String>): OutgoingRequest {
+    val body = platformJson.encodeToString(WireHandles.serializer(), WireHandles(handles))
+    return post(target, "/v1/stage-free", body, ConnectionSharing.UNREAD)
+}
 
 /** Encodes the call that asks [target] for its free space. */
 fun encodeSpaceReport(target: TargetEntry): OutgoingRequest =
@@ -61,8 +65,10 @@
     return (freeMb * BYTES_PER_MB).toLong().takeIf { freeMb.isFinite() && freeMb >= 0 }
 }
 
-private fun post(target: TargetEntry, uri: String, body: String) =
-    OutgoingRequest("POST", uri, encodeTargetCall(target.address, target.id), body.toByteArray())
+private fun post(target: TargetEntry, uri: String, body: String, sharing: ConnectionSharing): OutgoingRequest {
+    val headers = encodeTargetCall(target.address, target.id)
+    return OutgoingRequest("POST", uri, headers, body.toByteArray(), sharing = sharing)
+}
 
 /**
  * Decodes the reply to a call of [count] items at [target]; returns null if it is not a reply to that call. A handle
--- a/src/main/kotlin/platform/StoreClient.kt
+++ b/src/main/kotlin/platform/StoreClient.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.Serializable
 import org.sesamerouter.web.BodyFraming
 import org.sesamerouter.web.CallFailure
+import org.sesamerouter.web.ConnectionSharing
 import org.sesamerouter.web.ForwardCall
 import org.sesamerouter.web.ForwardClient
 import org.sesamerouter.web.OutgoingRequest
@@ -188,8 +189,9 @@
     ): StoreCall {
         calls++
         val headers = DefaultHttpHeaders().set(HttpHeaderNames.HOST, address)
+        val request = OutgoingRequest(method, uri, headers, body, sharing = ConnectionSharing.IN_ORDER)
         val reply = StoreReplyListener(done)
-        reply.call = client.send(address, OutgoingRequest(method, uri, headers, body), reply)
+        reply.call = client.send(address, request, reply)
         reply.timeout = failAfter(reply, waitMs + REPLY_TIMEOUT_MS)
         reply.onProgress = { extendTimeout(reply) }
         if (reply.isCompleted) reply.cancelTimeouts()
--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -38,6 +38,7 @@
  * @property responseId the id that the response has to carry; null if responses carry no id.
  * @property expiresAtMs time after which the request is not sent any more, for example when connecting took too long.
  * @property usedConnections the connections of all sends of this request; null if it is sent once only.
+ * @property sharing which calls its connection may carry besides.
  */
 class OutgoingRequest(
     val method: String,
@@ -47,8 +48,24 @@
     val responseId: ResponseId? = null,
     val expiresAtMs: Long = Long.MAX_VALUE,
     val usedConnections: UsedConnections? = null,
+    val sharing: ConnectionSharing = if (responseId != null) ConnectionSharing.SHARED else ConnectionSharing.NONE,
 )
 
+/** With which other calls a call may share a connection: whose an answer is has to show on all that follow it. */
+enum class ConnectionSharing {
+    /** With calls whose answers bear ids. Without an id, its listener has to confirm that the answer was its own. */
+    SHARED,
+
+    /** With calls whose answers tell nothing that anyone relies on. */
+    UNREAD,
+
+    /** With calls to a server that answers each call once, in order. */
+    IN_ORDER,
+
+    /** With none. */
+    NONE,
+}
+
 /**
  * The connections that a request was sent on. A second copy of a response that came on one of them may follow there and
  * bears the id of the request, so the request is not sent on it again. Must be used on the event loop.
@@ -110,6 +127,16 @@
         if (loop.inEventLoop()) cancelNow() else loop.execute(::cancelNow)
     }
 
+    internal var isConfirmed = false
+
+    /**
+     * Says, before [ResponseListener.onEnd] returns, that the answer without an id is shown to be that of this call by
+     * what it holds. Without it, its connection is closed.
+     */
+    fun confirmOwnAnswer() {
+        isConfirmed = true
+    }
+
     /** Pauses or resumes reading the response. */
     fun setReading(reading: Boolean) {
         connection?.channel?.config()?.isAutoRead = reading
@@ -156,7 +183,7 @@
 
 /** The connections to one address. */
 private class ConnectionPool {
-    val idle = ArrayDeque<ForwardConnection>()
+    val idle = ArrayDeque<ForwardConnection>() // of all kinds of sharing
     var open = 0
 }
 
@@ -199,7 +226,7 @@
         maxConnections: Int = Int.MAX_VALUE,
     ): ForwardCall {
         val call = ForwardCall(loop)
-        val pooled = takeIdle(address, request.usedConnections)
+        val pooled = takeIdle(address, request)
         when {
             pooled != null -> pooled.start(request, listener, call)
 
@@ -263,12 +290,12 @@
 
     private fun connectionOf(channel: Channel) = channel.pipeline().get(ForwardConnection::class.java)
 
-    private fun takeIdle(address: String, used: UsedConnections?): ForwardConnection? {
+    private fun takeIdle(address: String, request: OutgoingRequest): ForwardConnection? {
         val idle = pools[address]?.idle ?: return null
         for (i in idle.indices.reversed()) {
             val connection = idle[i]
             val isReusable = connection.isReusable(clock.nowMs())
-            if (isReusable && used != null && connection in used) continue
+            if (isReusable && !connection.mayCarry(request)) continue
             idle.removeAt(i)
             if (isReusable) return connection
             connection.channel.close()
--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -47,6 +47,8 @@
     private var framing = BodyFraming.LENGTH
     private var mayBeKept = true
     private var hasCarriedCall = false
+    private var sharing = ConnectionSharing.NONE
+    private var needsConfirmation = false
 
     /** The answer that is being skipped; null if none is. */
     private var skipped: UnusedAnswer? = null
@@ -58,6 +60,10 @@
 
     fun isReusable(now: Long): Boolean = channel.isActive && breakage == null && now - idleSinceMs < idleTimeoutMs
 
+    /** Whether the answer to [request] can be told from copies of those to all calls that were sent here before. */
+    fun mayCarry(request: OutgoingRequest): Boolean =
+        request.sharing == sharing && request.usedConnections?.contains(this) != true
+
     fun start(request: OutgoingRequest, listener: ResponseListener, call: ForwardCall) {
         byteLimit.isInResponse = false
         this.listener = listener
@@ -66,6 +72,8 @@
         call.isOnKeptConnection = hasCarriedCall
         hasCarriedCall = true
         request.usedConnections?.add(this)
+        sharing = request.sharing
+        needsConfirmation = sharing == ConnectionSharing.SHARED && request.responseId == null
         val method = HttpMethod.valueOf(request.method)
         calls.begin(ConnectionCall(request.responseId, method))
         isRequestWritten = false
@@ -206,13 +214,25 @@
         ended = null
         idleSinceMs = client.clock.nowMs()
         channel.config().isAutoRead = true
-        if (isKeepable()) client.returnToPool(this) else channel.close()
-        endedListener.onEnd()
+        val endedCall = checkNotNull(call)
+        endedCall.connection = null // the next call may use it
+        if (needsConfirmation) {
+            endedListener.onEnd()
+            release(endedCall.isConfirmed)
+        } else {
+            release(isProven = true)
+            endedListener.onEnd()
+        }
+    }
+
+    private fun release(isProven: Boolean) {
+        if (isProven && isKeepable()) client.returnToPool(this) else channel.close()
     }
 
     /** A target that responds before it has read the whole request treats the next bytes as the rest of it. */
-    private fun isKeepable() = mayBeKept && calls.mayFollow && isRequestWritten && breakage == null &&
-        !inputEnd.isReached && channel.isActive
+    private fun isKeepable() =
+        mayBeKept && sharing != ConnectionSharing.NONE && calls.mayFollow && isRequestWritten && breakage == null &&
+            !inputEnd.isReached && channel.isActive
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         client.onConnectionClosed(this)
--- a/src/test/kotlin/front/Site.kt
+++ b/src/test/kotlin/front/Site.kt
@@ -15,6 +15,7 @@
 import org.sesamerouter.clock.systemClock
 import org.sesamerouter.platform.FrontSettings
 import org.sesamerouter.web.CollectedResponse
+import org.sesamerouter.web.ConnectionSharing
 import org.sesamerouter.web.ForwardClient
 import org.sesamerouter.web.OutgoingRequest
 import org.sesamerouter.web.ResponseCollector
@@ -135,8 +136,10 @@
         body: String = "",
     ): CompletableFuture<CollectedResponse> {
         val collector = ResponseCollector()
+        val request =
+            OutgoingRequest(method, path, headers, body.toByteArray(), sharing = ConnectionSharing.IN_ORDER)
         eventLoop.execute {
-            client.send(address, OutgoingRequest(method, path, headers, body.toByteArray()), collector)
+            client.send(address, request, collector)
         }
         return collector.response.orTimeout(TIMEOUT_S, TimeUnit.SECONDS)
     }
--- a/src/test/kotlin/front/StageAnswersSpec.kt
+++ b/src/test/kotlin/front/StageAnswersSpec.kt
@@ -8,6 +8,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -20,6 +21,7 @@
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.host.ControlLoop
 import org.sesamerouter.web.ForwardClient
+import org.sesamerouter.web.readHead
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -30,6 +32,8 @@
 
 private const val CALLS = 12
 private const val FAULTY_CALL = 3
+private const val REPORTS = 4
+private const val FREE_BYTES = 5_000_000L
 private val KEY = Regex(""""key":"(\w+)"""")
 
 private fun response(status: Int, header: String, body: String) =
@@ -79,6 +83,36 @@
     override fun close() = server.close()
 }
 
+/** A stage target that answers each free twice, the second time where the next answer is due, and reports its space. */
+private class FreeCopyingTarget : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    val address = "127.0.0.1:${server.localPort}"
+
+    init {
+        thread(isDaemon = true) {
+            runCatching {
+                while (true) {
+                    val socket = server.accept()
+                    thread(isDaemon = true) { runCatching { socket.use(::serve) } } // until the connection is closed
+                }
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        var copy = ""
+        while (true) {
+            val isFree = socket.readHead().startsWith("POST /v1/stage-free")
+            if (isFree) while (socket.getInputStream().read() != '}'.code) Unit
+            socket.send(copy)
+            copy = if (isFree) response(200, "", "{}") else ""
+            socket.send(if (isFree) copy else response(200, "", """{"free-mb":5}"""))
+        }
+    }
+
+    override fun close() = server.close()
+}
+
 class StageAnswersSpec :
     FunSpec({
         val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -119,6 +153,21 @@
                 target.close()
             }
         }
+
+        // Guards against answers to calls without ids that end other calls on the same connection.
+        test("a report of free space is not ended by a second copy of the answer to a free") {
+            FreeCopyingTarget().use { target ->
+                val entry = TargetEntry("s1", "stock", target.address, "west", 1, isDraining = false, startTimeMs = 1)
+                repeat(REPORTS) {
+                    val freed = CompletableFuture<Unit>()
+                    adapter.free(PoolEffect.Free(0, entry, listOf("${target.address}/h"))) { freed.complete(Unit) }
+                    freed.get(TIMEOUT_S, TimeUnit.SECONDS)
+                    val space = CompletableFuture<Long?>()
+                    adapter.askSpace(entry, space::complete)
+                    space.get(TIMEOUT_S, TimeUnit.SECONDS) shouldBe FREE_BYTES
+                }
+            }
+        }
     })
 
 /** Returns [outcome] if it gives no result to the call; null otherwise. */
--- a/src/test/kotlin/web/ConnectionHistories.kt
+++ b/src/test/kotlin/web/ConnectionHistories.kt
@@ -78,6 +78,8 @@
         onEnded()
     }
 
+    fun isOwn(answer: ModelAnswer) = status == answer.status && body.isNotEmpty() && body.toString() == answer.seenBody
+
     override fun onFailed(failure: CallFailure) {
         ends++
     }
@@ -147,14 +149,20 @@
         val own = ModelAnswer(id.takeIf { !isIdless }, method, status, framing, body, random.nextInt(15) == 0)
         val call = ModelCall(number, id, method, own)
         val startsNext = random.nextBoolean()
-        call.given = Given { if (startsNext && idle != null && calls.size < MAX_CALLS) start() }
+        call.given = Given {
+            if (id == null && call.given.isOwn(own)) call.handle.confirmOwnAnswer()
+            if (startsNext && idle != null && calls.size < MAX_CALLS) start()
+        }
         if (own.id == null) call.hasToEnd = false
         calls += call
         call.handle = ForwardCall(channel.eventLoop())
         val headers = DefaultHttpHeaders().set("Host", "a")
         id?.let { headers.set(HEADER, it) }
         val responseId = id?.let { ResponseId(HEADER, it) }
-        connection.start(OutgoingRequest(method, "/a", headers, ByteArray(0), responseId), call.given, call.handle)
+        val request =
+            OutgoingRequest(method, "/a", headers, ByteArray(0), responseId, sharing = ConnectionSharing.SHARED)
+        check(number == 0 || connection.mayCarry(request)) { "seed $seed" }
+        connection.start(request, call.given, call.handle)
         channel.releaseOutbound()
     }
 
