--- a/src/main/kotlin/front/DecisionLines.kt
+++ b/src/main/kotlin/front/DecisionLines.kt
@@ -6,6 +6,7 @@
 import org.sesamerouter.discovery.EntryChange
 import org.sesamerouter.retry.AllowanceChange
 import org.sesamerouter.serving.FlowEffect
+import org.sesamerouter.web.UnusedAnswer
 
 private const val MAX_LOGGED_IDS = 6
 private const val MAX_LOGGED_ID_LENGTH = 32
@@ -64,6 +65,29 @@
     "hosts" to hosts,
 )
 
+/** Writes an answer that ended no call, and the id of the request that waits on its connection. */
+internal fun DecisionLog.writeUnusedAnswer(answer: UnusedAnswer) = write(
+    "answer-unused",
+    "kind" to answer.kind,
+    "address" to answer.address,
+    "id" to answer.id,
+    "waiting" to answer.waitingId,
+    "status" to answer.status,
+    "bytes" to answer.bytes,
+    "cause" to answer.cause,
+)
+
+/** Writes that a request goes out again, why, what is left of the allowance, and whether on a connection used before. */
+internal fun DecisionLog.writeResend(request: String, effect: FlowEffect.Send, isOnKeptConnection: Boolean) = write(
+    "resend",
+    "request" to request.take(MAX_LOGGED_ID_LENGTH),
+    "flow" to effect.send.flow,
+    "send" to effect.send.number,
+    "repeat" to effect.pass.reason,
+    "repeats-left" to effect.pass.left,
+    "connection" to if (isOnKeptConnection) "kept" else "new",
+)
+
 /** Writes what this host believes about a part of prompts from now on, and the crashes that count against it. */
 internal fun DecisionLog.writePartChange(effect: FlowEffect.QuarantineChanged) = write(
     "part",
--- a/src/main/kotlin/front/FrontMetrics.kt
+++ b/src/main/kotlin/front/FrontMetrics.kt
@@ -10,6 +10,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.sesamerouter.quarantine.PartChangeKind
 import org.sesamerouter.retry.RepeatReason
+import org.sesamerouter.web.UnusedKind
 
 private val LATENCY_BUCKETS_MS = doubleArrayOf(50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0)
 
@@ -47,6 +48,10 @@
     fun countUnpaidRepeat(service: String) =
         registry.counter("sesamerouter.forward.repeats.unpaid", "service", service).increment()
 
+    /** Counts an answer that ended no call. */
+    fun countUnusedAnswer(kind: UnusedKind) =
+        registry.counter("sesamerouter.forward.answers.unused", "kind", kind.name).increment()
+
     /** Counts a change of what this host believes about a part of prompts. */
     fun countPartChange(kind: PartChangeKind) =
         registry.counter("sesamerouter.quarantine.part.changes", "kind", kind.name).increment()
--- a/src/main/kotlin/web/ForwardClient.kt
+++ b/src/main/kotlin/web/ForwardClient.kt
@@ -1,6 +1,6 @@
 /*
- * The HTTP client that forwards requests to targets and calls the platform, without changing bodies. It matches
- * responses with requests by id, distinguishes complete responses from truncated ones, and reports whether a failed
+ * The HTTP client that forwards requests to targets and calls the platform, without changing bodies. [ConnectionCalls]
+ * decides whose a response is. The client distinguishes complete responses from truncated ones, and reports whether a failed
  * request certainly never left this host or may have been received. An id names a request and not one send of it, so a
  * request that is sent again uses connections that it was not on. All calls and callbacks run on one event loop.
  * Bytes that belong to no response are bounded by [ResponseByteLimit].
@@ -17,8 +17,8 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
 import org.sesamerouter.clock.Clock
 import java.net.ConnectException
@@ -28,9 +28,6 @@
 private const val IDLE_TIMEOUT_MS = 20_000L
 private const val IDLE_TIMEOUT_MARGIN_MS = 400L // connections this close to the announced timeout are not reused
 private const val IDLE_CHECK_MS = 1_000L
-private const val MAX_LINE_BYTES = 8_192
-private const val MAX_HEAD_BYTES = 32_768
-private const val MAX_CHUNK_BYTES = 16_384
 private const val KEEP_ALIVE_IDLE_S = 1
 private const val KEEP_ALIVE_INTERVAL_S = 1
 private const val KEEP_ALIVE_PROBES = 2
@@ -41,6 +38,7 @@
  * @property responseId the id that the response has to carry; null if responses carry no id.
  * @property expiresAtMs time after which the request is not sent any more, for example when connecting took too long.
  * @property usedConnections the connections of all sends of this request; null if it is sent once only.
+ * @property sharing which calls its connection may carry besides.
  */
 class OutgoingRequest(
     val method: String,
@@ -50,8 +48,24 @@
     val responseId: ResponseId? = null,
     val expiresAtMs: Long = Long.MAX_VALUE,
     val usedConnections: UsedConnections? = null,
+    val sharing: ConnectionSharing = if (responseId != null) ConnectionSharing.SHARED else ConnectionSharing.NONE,
 )
 
+/** With which other calls a call may share a connection: whose an answer is has to show on all that follow it. */
+enum class ConnectionSharing {
+    /** With calls whose answers bear ids. Without an id, its listener has to confirm that the answer was its own. */
+    SHARED,
+
+    /** With calls whose answers tell nothing that anyone relies on. */
+    UNREAD,
+
+    /** With calls to a server that answers each call once, in order. */
+    IN_ORDER,
+
+    /** With none. */
+    NONE,
+}
+
 /**
  * The connections that a request was sent on. A second copy of a response that came on one of them may follow there and
  * bears the id of the request, so the request is not sent on it again. Must be used on the event loop.
@@ -104,11 +118,25 @@
     internal var connection: ForwardConnection? = null
     internal var isCancelled = false
 
+    /** Whether its connection has carried another call before. */
+    var isOnKeptConnection = false
+        internal set
+
     /** Cancels the call and closes its connection; the listener is not called any more. */
     fun cancel() {
         if (loop.inEventLoop()) cancelNow() else loop.execute(::cancelNow)
     }
 
+    internal var isConfirmed = false
+
+    /**
+     * Says, before [ResponseListener.onEnd] returns, that the answer without an id is shown to be that of this call by
+     * what it holds. Without it, its connection is closed.
+     */
+    fun confirmOwnAnswer() {
+        isConfirmed = true
+    }
+
     /** Pauses or resumes reading the response. */
     fun setReading(reading: Boolean) {
         connection?.channel?.config()?.isAutoRead = reading
@@ -120,20 +148,72 @@
     }
 }
 
+/** What a connection needs of its client. */
+internal interface ConnectionOwner {
+    val clock: Clock
+    val unusedAnswers: UnusedAnswers
+
+    /** Takes back [connection], which may carry the next call. */
+    fun returnToPool(connection: ForwardConnection)
+
+    fun onConnectionClosed(connection: ForwardConnection)
+}
+
+/** Sets up [channel] as a connection to [address]; [rule] decides whose an answer is. */
+internal fun forwardConnection(
+    channel: Channel,
+    address: String,
+    owner: ConnectionOwner,
+    rule: OwnerRule = OwnerById,
+): ForwardConnection {
+    val inputEnd = InputEnd()
+    val byteLimit = ResponseByteLimit()
+    val calls = ConnectionCalls(rule)
+    val decoder = AnswerDecoder(calls)
+    val connection = ForwardConnection(channel, address, owner, inputEnd, byteLimit, calls, decoder)
+    channel.pipeline()
+        .addLast(inputEnd)
+        .addLast(byteLimit)
+        .addLast(HttpRequestEncoder())
+        .addLast(decoder)
+        .addLast(BodyPartJoiner())
+        .addLast(connection)
+    return connection
+}
+
 /** The connections to one address. */
 private class ConnectionPool {
-    val idle = ArrayDeque<ForwardConnection>()
+    val idle = ArrayDeque<ForwardConnection>() // of all kinds of sharing
     var open = 0
 }
 
-/** An HTTP client that reuses connections. */
-class ForwardClient(private val loop: EventLoop, internal val clock: Clock) {
+/** An HTTP client that reuses connections; [unusedAnswers] is told of answers that end no call. */
+class ForwardClient(
+    private val loop: EventLoop,
+    private val clock: Clock,
+    private val unusedAnswers: UnusedAnswers = UnusedAnswers { },
+) {
     private val pools = HashMap<String, ConnectionPool>()
 
     /** Number of connections opened so far. */
     var openedConnections = 0L
         private set
 
+    private val owner = object : ConnectionOwner {
+        override val clock get() = this@ForwardClient.clock
+        override val unusedAnswers get() = this@ForwardClient.unusedAnswers
+
+        override fun returnToPool(connection: ForwardConnection) {
+            poolOf(connection.address).idle.addLast(connection)
+        }
+
+        override fun onConnectionClosed(connection: ForwardConnection) {
+            val pool = poolOf(connection.address)
+            pool.open--
+            pool.idle.remove(connection)
+        }
+    }
+
     init {
         loop.scheduleAtFixedRate(::closeIdleConnections, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS)
     }
@@ -146,7 +226,7 @@
         maxConnections: Int = Int.MAX_VALUE,
     ): ForwardCall {
         val call = ForwardCall(loop)
-        val pooled = takeIdle(address, request.usedConnections)
+        val pooled = takeIdle(address, request)
         when {
             pooled != null -> pooled.start(request, listener, call)
 
@@ -176,14 +256,7 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    val inputEnd = InputEnd()
-                    val byteLimit = ResponseByteLimit()
-                    channel.pipeline()
-                        .addLast(inputEnd)
-                        .addLast(byteLimit)
-                        .addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
-                        .addLast(BodyPartJoiner())
-                        .addLast(ForwardConnection(channel, address, this@ForwardClient, inputEnd, byteLimit))
+                    forwardConnection(channel, address, owner)
                 }
             })
             .connect(socketAddress(address))
@@ -217,22 +290,12 @@
 
     private fun connectionOf(channel: Channel) = channel.pipeline().get(ForwardConnection::class.java)
 
-    internal fun returnToPool(connection: ForwardConnection) {
-        poolOf(connection.address).idle.addLast(connection)
-    }
-
-    internal fun onConnectionClosed(connection: ForwardConnection) {
-        val pool = poolOf(connection.address)
-        pool.open--
-        pool.idle.remove(connection)
-    }
-
-    private fun takeIdle(address: String, used: UsedConnections?): ForwardConnection? {
+    private fun takeIdle(address: String, request: OutgoingRequest): ForwardConnection? {
         val idle = pools[address]?.idle ?: return null
         for (i in idle.indices.reversed()) {
             val connection = idle[i]
             val isReusable = connection.isReusable(clock.nowMs())
-            if (isReusable && used != null && connection in used) continue
+            if (isReusable && !connection.mayCarry(request)) continue
             idle.removeAt(i)
             if (isReusable) return connection
             connection.channel.close()
--- a/src/main/kotlin/web/ForwardConnection.kt
+++ b/src/main/kotlin/web/ForwardConnection.kt
@@ -1,6 +1,7 @@
 /*
- * One connection to a target. It handles one call at a time. A response with an id other than that of the call is
- * skipped, and data received outside a call closes the connection.
+ * One connection to a target. It handles one call at a time; [ConnectionCalls] decides whose a response is. Data
+ * received outside a call closes the connection. A call ends, and its connection may carry the next one, only when all
+ * data that was read with the end of the response is decoded.
  */
 package org.sesamerouter.web
 
@@ -15,7 +16,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -23,41 +23,59 @@
 import java.util.concurrent.TimeUnit
 
 private const val READ_AFTER_FAILED_WRITE_MS = 200L // the data that has arrived is read in the next rounds
+private const val NO_CALL = "no call waits"
 private val KEEP_ALIVE_SECONDS = Regex("""timeout=(\d+)""")
 
 internal class ForwardConnection(
     val channel: Channel,
     val address: String,
-    private val client: ForwardClient,
+    private val client: ConnectionOwner,
     private val inputEnd: InputEnd,
     private val byteLimit: ResponseByteLimit,
+    private val calls: ConnectionCalls,
+    private val decoder: AnswerDecoder,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var listener: ResponseListener? = null
+
+    /** The listener of a call whose response is complete, until the data that was read with it is decoded. */
+    private var ended: ResponseListener? = null
     private var call: ForwardCall? = null
-    private var responseId: ResponseId? = null
-    private var method = HttpMethod.GET
     private var isRequestWritten = false
     private var writeFailure: Throwable? = null
     private var isHeadReceived = false
     private var isSkippingResponse = false
     private var framing = BodyFraming.LENGTH
-    private var keepAlive = true
+    private var mayBeKept = true
+    private var hasCarriedCall = false
+    private var sharing = ConnectionSharing.NONE
+    private var needsConfirmation = false
+
+    /** The answer that is being skipped; null if none is. */
+    private var skipped: UnusedAnswer? = null
 
     /** What failed before the end of the connection; null if nothing did. */
     private var breakage: CallFailure? = null
     private var idleSinceMs = 0L
     private var idleTimeoutMs = ForwardClient.idleTimeoutMs(null)
 
-    fun isReusable(now: Long): Boolean = channel.isActive && now - idleSinceMs < idleTimeoutMs
+    fun isReusable(now: Long): Boolean = channel.isActive && breakage == null && now - idleSinceMs < idleTimeoutMs
+
+    /** Whether the answer to [request] can be told from copies of those to all calls that were sent here before. */
+    fun mayCarry(request: OutgoingRequest): Boolean =
+        request.sharing == sharing && request.usedConnections?.contains(this) != true
 
     fun start(request: OutgoingRequest, listener: ResponseListener, call: ForwardCall) {
         byteLimit.isInResponse = false
         this.listener = listener
         this.call = call
         call.connection = this
+        call.isOnKeptConnection = hasCarriedCall
+        hasCarriedCall = true
         request.usedConnections?.add(this)
-        responseId = request.responseId
-        method = HttpMethod.valueOf(request.method)
+        sharing = request.sharing
+        needsConfirmation = sharing == ConnectionSharing.SHARED && request.responseId == null
+        val method = HttpMethod.valueOf(request.method)
+        calls.begin(ConnectionCall(request.responseId, method))
         isRequestWritten = false
         isHeadReceived = false
         isSkippingResponse = false
@@ -88,49 +106,92 @@
     /** Closes the connection without notifying the listener of the call. */
     fun closeSilently() {
         listener = null
+        ended = null
         channel.close()
     }
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
+        if (breakage != null) return
         if (message.decoderResult().isFailure) {
+            report(UnusedKind.INVALID, message as? HttpResponse, message.decoderResult().cause().message)
             breakOff(BreakReason.INVALID, "invalid response: ${message.decoderResult().cause().message}")
             return
         }
         if (message is HttpResponse) onHead(message)
-        if (message is HttpContent && !isSkippingResponse) onContent(ctx, message)
-        if (message is LastHttpContent && isSkippingResponse) isSkippingResponse = false
+        if (message is HttpContent) {
+            if (isSkippingResponse) onSkipped(message) else onContent(message)
+        }
     }
 
     private fun onHead(response: HttpResponse) {
-        val activeListener = listener
-        if (activeListener == null || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            isSkippingResponse = true
-            if (activeListener == null) channel.close()
-            return
-        }
-        val expected = responseId
-        val actual = expected?.let { response.headers().get(it.header) }
-        if (actual != null && actual != expected.value) {
-            isSkippingResponse = true
-            return
+        when (calls.ownerOf(response)) {
+            AnswerOwner.WAITING -> onOwnHead(response)
+
+            AnswerOwner.INTERIM -> isSkippingResponse = true
+
+            AnswerOwner.OTHER -> {
+                isSkippingResponse = true
+                if (!HttpUtil.isKeepAlive(response)) mayBeKept = false
+                skipped = unusedAnswer(UnusedKind.SKIPPED, response).copy(bytes = 0)
+            }
+
+            AnswerOwner.NONE -> {
+                val cause = "nothing shows that the response is that to this call"
+                report(UnusedKind.UNOWNED, response, cause)
+                breakOff(BreakReason.INVALID, cause)
+            }
+
+            AnswerOwner.UNASKED -> {
+                report(UnusedKind.UNASKED, response, NO_CALL)
+                breakOff(BreakReason.INVALID, NO_CALL)
+            }
         }
+    }
+
+    private fun onOwnHead(response: HttpResponse) {
+        val call = checkNotNull(calls.waiting)
         isHeadReceived = true
         byteLimit.isInResponse = true
-        keepAlive = HttpUtil.isKeepAlive(response)
+        if (!HttpUtil.isKeepAlive(response)) mayBeKept = false
         val announced = response.headers().get("Keep-Alive")?.let { KEEP_ALIVE_SECONDS.find(it) }
         idleTimeoutMs = ForwardClient.idleTimeoutMs(announced?.groupValues?.get(1)?.toLongOrNull())
-        framing = framingOf(response, method)
-        activeListener.onHead(response.status().code(), response.headers(), framing)
+        framing = framingOf(response, call.method)
+        listener?.onHead(response.status().code(), response.headers(), framing)
     }
 
-    private fun onContent(ctx: ChannelHandlerContext, content: HttpContent) {
-        val activeListener = listener
-        if (activeListener == null || !isHeadReceived) {
-            if (activeListener == null) ctx.close()
-            return
-        }
+    private fun onSkipped(content: HttpContent) {
+        skipped = skipped?.let { it.copy(bytes = (it.bytes ?: 0) + content.content().readableBytes()) }
+        if (content !is LastHttpContent) return
+        isSkippingResponse = false
+        reportSkipped()
+    }
+
+    private fun reportSkipped() {
+        skipped?.let(client.unusedAnswers::onUnused)
+        skipped = null
+    }
+
+    private fun report(kind: UnusedKind, response: HttpResponse?, cause: String?) {
+        if (channel.isOpen) client.unusedAnswers.onUnused(unusedAnswer(kind, response).copy(cause = cause?.cutCause()))
+    }
+
+    private fun unusedAnswer(kind: UnusedKind, response: HttpResponse?): UnusedAnswer {
+        val validHead = response?.takeIf { it.decoderResult().isSuccess }
+        val id = calls.idHeader?.let { validHead?.headers()?.get(it) }?.cutId()
+        val waitingId = calls.waiting?.id?.value?.cutId()
+        return UnusedAnswer(kind, address, id, waitingId, validHead?.status()?.code())
+    }
+
+    private fun onContent(content: HttpContent) {
+        val activeListener = listener ?: return
+        if (!isHeadReceived) return
         if (content.content().isReadable) activeListener.onBody(content.content())
-        if (content is LastHttpContent && listener === activeListener && isComplete()) end(activeListener)
+        if (content is LastHttpContent && listener === activeListener && isComplete()) {
+            listener = null
+            ended = activeListener
+            calls.end()
+            byteLimit.isInResponse = false
+        }
     }
 
     private fun isComplete() = breakage == null && (framing != BodyFraming.CONNECTION_END || isEndedInOrder)
@@ -138,18 +199,45 @@
     /** A reset that a failed write has reported is read as an orderly end afterwards. */
     private val isEndedInOrder get() = inputEnd.isReached && writeFailure == null
 
-    private fun end(activeListener: ResponseListener) {
-        listener = null
-        byteLimit.isInResponse = false
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        if (listener == null && decoder.hasPartOfMessage && breakage == null) {
+            report(UnusedKind.UNASKED, null, NO_CALL)
+            breakOff(BreakReason.INVALID, NO_CALL)
+        }
+        end()
+        super.channelReadComplete(ctx)
+    }
+
+    /** Ends the call whose response is complete. */
+    private fun end() {
+        val endedListener = ended ?: return
+        ended = null
         idleSinceMs = client.clock.nowMs()
         channel.config().isAutoRead = true
-        // A target that responds before it has read the whole request treats the next bytes as the rest of it.
-        if (keepAlive && isRequestWritten && channel.isActive) client.returnToPool(this) else channel.close()
-        activeListener.onEnd()
+        val endedCall = checkNotNull(call)
+        endedCall.connection = null // the next call may use it
+        if (needsConfirmation) {
+            endedListener.onEnd()
+            release(endedCall.isConfirmed)
+        } else {
+            release(isProven = true)
+            endedListener.onEnd()
+        }
+    }
+
+    private fun release(isProven: Boolean) {
+        if (isProven && isKeepable()) client.returnToPool(this) else channel.close()
     }
 
+    /** A target that responds before it has read the whole request treats the next bytes as the rest of it. */
+    private fun isKeepable() =
+        mayBeKept && sharing != ConnectionSharing.NONE && calls.mayFollow && isRequestWritten && breakage == null &&
+            !inputEnd.isReached && channel.isActive
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         client.onConnectionClosed(this)
+        reportSkipped()
+        end()
         val activeListener = listener
         listener = null
         activeListener?.onFailed(breakage ?: closedFailure())
@@ -170,7 +258,9 @@
 
     /** Closes the connection at the end of its input, which the decoder has handled by now. */
     override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
-        if (event is ChannelInputShutdownEvent) ctx.close()
+        if (event !is ChannelInputShutdownEvent) return
+        end()
+        ctx.close()
     }
 
     @Deprecated("Netty still calls this function.")
@@ -178,6 +268,7 @@
         if (cause is IOException) {
             breakOff(BreakReason.RESET, "connection reset")
         } else {
+            report(UnusedKind.INVALID, null, cause.message)
             breakOff(BreakReason.INVALID, "invalid response: ${cause.message}")
         }
     }
