--- a/src/main/kotlin/front/DecisionLines.kt
+++ b/src/main/kotlin/front/DecisionLines.kt
@@ -77,7 +77,7 @@
     "cause" to answer.cause,
 )
 
-/** Writes that a request goes out again, why, what is left of the allowance, and whether on a connection used before. */
+/** Writes that a request goes out again, what is left of the allowance, and whether on a connection used before. */
 internal fun DecisionLog.writeResend(request: String, effect: FlowEffect.Send, isOnKeptConnection: Boolean) = write(
     "resend",
     "request" to request.take(MAX_LOGGED_ID_LENGTH),
