Take the pass for another send before a silent target is given up

What callers saw: 502 for requests whose targets were only slow. Cause: a silent send was given up if the allowance had a repeat left, but the pass was taken only when the send had ended; all requests that were silent at the same time were given up for the last repeat, and all but one had no other send. Change: the pass is taken before the send is given up and is used when it has ended. RequestFlowsSpec 'no more silent targets are given up than the allowance pays for' failed before (3 given up with an allowance of 1); passes now, with all 33 tests of the spec.

--- a/src/main/kotlin/serving/Flow.kt
+++ b/src/main/kotlin/serving/Flow.kt
@@ -35,7 +35,10 @@
     var mayHaveRun = false
     var hasBufferedFailure = false
 
-    /** Leave for the next send; null while a send is in progress, and after a send that a target may have received. */
+    /**
+     * Leave for the next send; null after a send that a target may have received, and while one is in progress that is
+     * not given up.
+     */
     var pass: SendPass? = null
 
     /** Whether a target of the service may have received the request. */
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -345,11 +345,18 @@
         else -> fail(flow, RejectReason.TARGETS_REFUSED)
     }
 
-    /** Gives up a silent target if another one may run the request now; that may have changed since the send. */
+    /**
+     * Gives up a silent target if another one may run the request now; that may have changed since the send. The pass
+     * for the other one is taken first, since other requests may use up the allowance until this send has ended.
+     */
     private fun onSendSilent(send: SendId, now: Long) {
         val (flow, attempt) = findSend(send) ?: return
         val mayRunAgain = mayRerun(flow, now, runs = flow.runs + 1) && shutdown.canComplete(flow, now)
-        if (!mayRunAgain || !sendGate.mayRepeat(flow.request.service, now)) return
+        if (!mayRunAgain) return
+        if (!attempt.isGivenUp) {
+            val isLeft = sendGate.mayRepeat(flow.request.service, now)
+            if (!isLeft || !takePass(flow, RepeatReason.SILENT, now)) return
+        }
         attempt.isGivenUp = true
         effects += FlowEffect.GiveUpSend(send)
     }
@@ -452,7 +459,7 @@
         flow.request.deadlineMs - now > MIN_SEND_MS
 
     private fun rerun(flow: Flow, reason: RepeatReason, now: Long) {
-        if (mayRerun(flow, now) && takePass(flow, reason, now)) {
+        if (mayRerun(flow, now) && (flow.pass != null || takePass(flow, reason, now))) {
             if (flow.isResponding) discardResults(flow)
             if (flow.request.route.stages.isEmpty()) send(flow, now) else rerunStages(flow, now)
         } else {
--- a/src/test/kotlin/serving/RequestFlowsSpec.kt
+++ b/src/test/kotlin/serving/RequestFlowsSpec.kt
@@ -23,6 +23,7 @@
 import org.sesamerouter.histories
 import org.sesamerouter.pipeline.RetryBudget
 import org.sesamerouter.quarantine.Quarantine
+import org.sesamerouter.retry.RepeatReason
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.web.RequestLimits
 import kotlin.random.Random
@@ -212,6 +213,16 @@
         }
 
         // Guards against LOST at a stop: a target is given up for its silence though no other may run the request.
+        // Guards against 502 for sends that were given up without a pass for another one.
+        test("no more silent targets are given up than the allowance pays for") {
+            val host = Host { RetryBudget(0.0, 1.0) }
+            val sends = (1L..3L).map { host.arrive(route(RouteKind.SAFE), flow = it).sends().single().send }
+            val givenUp = sends.filter { host.givesUpSilent(it) }
+            givenUp.size shouldBe 1
+            val failed = host.handle(FlowEvent.SendFailed(givenUp.single(), SendFailure.Lost("silent")))
+            failed.sends().single().pass.reason shouldBe RepeatReason.SILENT
+        }
+
         test("a silent target is not given up when the request could not run again by now") {
             val stopping = Host()
             val send = stopping.arrive(route(RouteKind.SAFE, attempts = 2), deadlineMs = 20_000).sends().single().send
