Count a repeat where its pass is used, not where it was taken

What targets saw: repeats beyond what is allowed in a window. Cause: a pass was counted when it was taken, but the stages of its request may then be made again for seconds, or several connections fail, so repeats of two windows arrived in one; the windows allow for a delay of one second only. Change: at each send the pass is given back and taken again at that time; if the allowance is used up by then, the request ends there. Ruled out: the windows themselves (RepeatWindowSpec, where a delay of 6 s is the negative control).

--- a/src/main/kotlin/retry/FleetAllowance.kt
+++ b/src/main/kotlin/retry/FleetAllowance.kt
@@ -34,6 +34,8 @@
         return true
     }
 
+    override fun giveBack(service: String, reason: RepeatReason, takenMs: Long) = windowOf(service).onGivenBack(takenMs)
+
     override fun uses(now: Long) = windows.mapValues { it.value.use(slackShare(now), now) }
 
     override fun slackShare(now: Long): Double {
--- a/src/main/kotlin/retry/RepeatAllowance.kt
+++ b/src/main/kotlin/retry/RepeatAllowance.kt
@@ -17,6 +17,9 @@
     /** Counts a repeat at [service], if it is allowed; returns whether it is. */
     fun tryTake(service: String, reason: RepeatReason, now: Long): Boolean
 
+    /** Takes back a repeat that was counted at [takenMs] and did not reach [service]. */
+    fun giveBack(service: String, reason: RepeatReason, takenMs: Long)
+
     /** The part of the slack that this host may use at each service. */
     fun slackShare(now: Long): Double
 
--- a/src/main/kotlin/retry/RepeatWindow.kt
+++ b/src/main/kotlin/retry/RepeatWindow.kt
@@ -28,6 +28,9 @@
     /** Counts a repeat. */
     fun onRepeat(now: Long) = repeats.add(now / slotMs)
 
+    /** Takes back a repeat that was counted at [takenMs]. */
+    fun onGivenBack(takenMs: Long) = repeats.remove(takenMs / slotMs)
+
     /** Returns the use of the allowance, which has [slack] repeats besides those for requests. */
     fun use(slack: Double, now: Long): AllowanceUse {
         val current = now / slotMs
@@ -60,6 +63,10 @@
         counts[indexOf(minOf(slot, newest))]++
     }
 
+    fun remove(slot: Long) {
+        if (slot in newest - size + 1..newest) counts[indexOf(slot)]--
+    }
+
     fun sum(first: Long, last: Long): Int =
         (maxOf(first, newest - size + 1)..minOf(last, newest)).sumOf { counts[indexOf(it)] }
 
--- a/src/main/kotlin/retry/SendGate.kt
+++ b/src/main/kotlin/retry/SendGate.kt
@@ -13,7 +13,7 @@
     val left: Int
 }
 
-private class GrantedPass(override val reason: RepeatReason?, override val left: Int) : SendPass
+private class GrantedPass(override val reason: RepeatReason?, override val left: Int, val takenMs: Long) : SendPass
 
 /** The allowance for [service] is used up, or has some left again; [refused] repeats were not sent meanwhile. */
 data class AllowanceChange(val service: String, val isUsedUp: Boolean, val use: AllowanceUse?, val refused: Int)
@@ -26,7 +26,7 @@
     /** Counts a request of a caller for [service] and returns the pass for its first arrival there. */
     fun onRequest(service: String, now: Long): SendPass {
         allowance.onRequest(service, now)
-        return GrantedPass(reason = null, left = 0)
+        return GrantedPass(reason = null, left = 0, now)
     }
 
     /** Whether a repeat at [service] would get a pass. */
@@ -39,7 +39,18 @@
             if (count == 1) changes += AllowanceChange(service, isUsedUp = true, allowance.uses(now)[service], count)
             return null
         }
-        return GrantedPass(reason, allowance.uses(now)[service]?.left ?: 0)
+        return GrantedPass(reason, allowance.uses(now)[service]?.left ?: 0, now)
+    }
+
+    /**
+     * Returns the pass for a send of [pass] at [now], or null if the allowance is used up by now. A repeat counts where it
+     * arrives, which may be seconds after its pass was taken: its stages may have been made again.
+     */
+    fun use(pass: SendPass, service: String, now: Long): SendPass? {
+        val reason = pass.reason
+        if (reason == null || pass !is GrantedPass || pass.takenMs == now) return pass
+        allowance.giveBack(service, reason, pass.takenMs)
+        return repeat(service, reason, now)
     }
 
     /** Returns what changed since the last call, for the log. */
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -218,7 +218,7 @@
 
     private fun send(flow: Flow, now: Long) {
         val request = flow.request
-        val pass = checkNotNull(flow.pass) { "request ${request.id} has no pass for another send" }
+        val taken = checkNotNull(flow.pass) { "request ${request.id} has no pass for another send" }
         startedDeferred -= request.flow
         val leftMs = request.deadlineMs - now
         if (leftMs < MIN_SEND_MS || !shutdown.canComplete(flow, now)) {
@@ -236,11 +236,16 @@
             fail(flow, RejectReason.NO_TARGET)
             return
         }
+        val pass = sendGate.use(taken, request.service, now)
+        flow.pass = null
+        if (pass == null) {
+            fail(flow, if (flow.mayHaveRun) RejectReason.OUTCOME_UNKNOWN else RejectReason.TARGETS_REFUSED)
+            return
+        }
         val prefillTokens = if (isEngine) engines.onSend(target.id, prompt, cacheTokens(request.service)) else 0
         serviceTargets.onSend(target)
         val attempt = SendAttempt(SendId(request.flow, ++flow.sends), target, prefillTokens, now, pass)
         flow.currentSend = attempt
-        flow.pass = null
         flow.triedTargets += target.id
         effects += FlowEffect.Send(
             attempt.id,
--- a/src/test/kotlin/retry/SendGateSpec.kt
+++ b/src/test/kotlin/retry/SendGateSpec.kt
@@ -51,6 +51,22 @@
             gate.takeAll(now = 40_000) shouldBeInRange 5..10
         }
 
+        test("a pass that is used later counts where it is used, and not where it was taken") {
+            val gate = gateOf()
+            val pass = gate.repeat(SERVICE, RepeatReason.LOST, 20_000).shouldNotBeNull()
+            gate.takeAll(now = 25_000) shouldBe 3
+            gate.use(pass, SERVICE, 29_000).shouldNotBeNull()
+            gate.takeAll(now = 32_000) shouldBe 0
+            gate.takeAll(now = 37_000) shouldBe 3
+        }
+
+        test("a pass cannot be used when the allowance is used up by then") {
+            val gate = gateOf()
+            val pass = gate.repeat(SERVICE, RepeatReason.LOST, 20_000).shouldNotBeNull()
+            gate.takeAll(now = 32_000) shouldBe 4
+            gate.use(pass, SERVICE, 32_000).shouldBeNull()
+        }
+
         test("an allowance that is used up, and that is back, is told once") {
             val gate = gateOf()
             gate.takeAll(now = 20_000)
--- a/src/test/kotlin/serving/FlowModels.kt
+++ b/src/test/kotlin/serving/FlowModels.kt
@@ -84,14 +84,23 @@
 /** A token bucket of one host for each service. */
 internal class BucketAllowance(private val newBucket: () -> RetryBudget) : RepeatAllowance {
     private val buckets = HashMap<String, RetryBudget>()
+    private val givenBack = HashMap<String, Int>()
 
     private fun bucketOf(service: String) = buckets.getOrPut(service, newBucket)
 
     override fun onRequest(service: String, now: Long) = bucketOf(service).deposit()
 
-    override fun isLeft(service: String, now: Long) = bucketOf(service).canWithdraw
+    override fun isLeft(service: String, now: Long) = (givenBack[service] ?: 0) > 0 || bucketOf(service).canWithdraw
 
-    override fun tryTake(service: String, reason: RepeatReason, now: Long) = bucketOf(service).tryWithdraw()
+    override fun tryTake(service: String, reason: RepeatReason, now: Long): Boolean {
+        val back = givenBack[service] ?: 0
+        if (back > 0) givenBack[service] = back - 1
+        return back > 0 || bucketOf(service).tryWithdraw()
+    }
+
+    override fun giveBack(service: String, reason: RepeatReason, takenMs: Long) {
+        givenBack.merge(service, 1, Int::plus)
+    }
 
     override fun slackShare(now: Long) = 0.0
 
--- a/src/test/kotlin/serving/RepeatFleet.kt
+++ b/src/test/kotlin/serving/RepeatFleet.kt
@@ -28,11 +28,12 @@
 private const val DEADLINE_MS = 8_000L
 private const val SILENCE_MS = 700L
 private const val CHECK_STEP_MS = 250L
+internal const val SLOW_STAGE_MS = 5_000L
 private const val SLOW_CONNECT_SHARE = 0.2 // of the sends
 private const val SLOW_CONNECT_MS = 700L
 
-/** How a target answers a request. */
-internal enum class Answer { SERVED, ERROR, REJECTED, RESET, SILENT, INPUTS_GONE, REFUSED }
+/** How a target answers a request. Stages fail with INPUTS_GONE only; engines answer 409 to both kinds of lost inputs. */
+internal enum class Answer { SERVED, ERROR, REJECTED, RESET, SILENT, INPUTS_GONE, INPUTS_UNREACHABLE, REFUSED }
 
 /** From [fromMs] to [toMs], [share] of the requests, and of the stage jobs, fail in one of the ways [answers]. */
 internal data class Trouble(val fromMs: Long, val toMs: Long, val share: Double, val answers: List<Answer>)
@@ -47,6 +48,7 @@
  * @property joinsAtMs when another host joins.
  * @property leavesAtMs when a host ends for good.
  * @property movesAtMs from when on requests go to another service.
+ * @property slowStagesToMs stage jobs that start earlier take up to [SLOW_STAGE_MS].
  */
 internal data class RepeatSpec(
     val seed: Long,
@@ -62,6 +64,7 @@
     val joinsAtMs: List<Long> = emptyList(),
     val leavesAtMs: List<Long> = emptyList(),
     val movesAtMs: Long = Long.MAX_VALUE,
+    val slowStagesToMs: Long = Long.MIN_VALUE,
     val lastsMs: Long = 45_000,
 )
 
@@ -260,9 +263,21 @@
             if (host.process == process) host.handle(event())
         }
         when (effect) {
-            is FlowEffect.RunStage -> later(random.nextLong(50, 300)) {
-                FlowEvent.StageEnded(effect.job.job, outcomeOf(effect.job.pieces.size))
-            }
+            is FlowEffect.RunStage ->
+                later(
+                    random.nextLong(
+                        50,
+                        if (now <
+                            spec.slowStagesToMs
+                        ) {
+                            SLOW_STAGE_MS
+                        } else {
+                            300
+                        },
+                    ),
+                ) {
+                    FlowEvent.StageEnded(effect.job.job, outcomeOf(effect.job.pieces.size))
+                }
 
             is FlowEffect.Send -> {
                 val isSlow = random.nextDouble() < SLOW_CONNECT_SHARE
@@ -303,7 +318,7 @@
 
             Answer.REJECTED -> later(delayMs) { failed(effect, SendFailure.NotRun(503)) }
 
-            Answer.INPUTS_GONE -> later(delayMs) { failed(effect, SendFailure.NotRun(409)) }
+            Answer.INPUTS_GONE, Answer.INPUTS_UNREACHABLE -> later(delayMs) { failed(effect, SendFailure.NotRun(409)) }
 
             Answer.SILENT -> later(SILENCE_MS) { failed(effect, SendFailure.Lost("silent")) }
 
--- a/src/test/kotlin/serving/RepeatFleetSpec.kt
+++ b/src/test/kotlin/serving/RepeatFleetSpec.kt
@@ -40,6 +40,10 @@
     RepeatAllowance by counted {
     override fun tryTake(service: String, reason: RepeatReason, now: Long) =
         isFree(reason) || counted.tryTake(service, reason, now)
+
+    override fun giveBack(service: String, reason: RepeatReason, takenMs: Long) {
+        if (!isFree(reason)) counted.giveBack(service, reason, takenMs)
+    }
 }
 
 private val INPUT_REASONS = setOf(RepeatReason.INPUTS_GONE, RepeatReason.STAGE_INPUTS_GONE)
@@ -172,6 +176,20 @@
             }.shouldBeEmpty()
         }
 
+        // Guards against BUDGET: a pass is counted when it is taken, but its request arrives after its stages are made again.
+        test("stages take seconds to be made again: repeats stay within the allowance of any window") {
+            overspent(701) { seed, hosts, random ->
+                val fastFrom = random.nextLong(12_000, 20_000)
+                RepeatSpec(
+                    seed,
+                    hosts,
+                    slack = 0.5 * hosts,
+                    troubles = listOf(Trouble(0, 40_000, 1.0, listOf(Answer.INPUTS_UNREACHABLE))),
+                    slowStagesToMs = fastFrom,
+                )
+            }.shouldBeEmpty()
+        }
+
         test("each broken variant of the allowance sends more repeats than allowed in some fleet") {
             for ((fault, factory) in BROKEN) {
                 withClue(fault) {
