Let the targets of the soak answer twice, reject, fail and lose results; count repeats

- The seed plans for each target what it does wrong, when, for how long and to which share of its requests, and for each service one trouble of all its targets at once.
Second copies come up to 3 answers and 2 s late, where the next answer on the connection is due, while a request waits or not; results are lost at the model target (409) and in a second stage.
- All hosts are killed together twice within ten seconds.
- MIXED arrivals: an answer with a proof is that of a run of its own request, with the status which the target gave; a success is that of the last arrival that was answered.
Proofs name the run, no longer only the request.
- BUDGET repeats: in each sliding window of retry-window-s the arrivals beyond the first of each request, of all hosts together, against the requests for the service.
The slack that hosts are told is now at most 6 a host (before 36 in all).
- Inputs are checked by stage too, also those of stage calls.
Negative controls for each check are in SoakChecksSpec.

--- a/src/test/kotlin/front/PlatformStandin.kt
+++ b/src/test/kotlin/front/PlatformStandin.kt
@@ -31,7 +31,7 @@
 
 /** The stand-ins of one platform, which share one event loop. */
 internal class PlatformStandin : AutoCloseable {
-    private val eventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    val eventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val clock = systemClock()
     private val handles = AtomicLong()
     val store = StoreStandin()
--- a/src/test/kotlin/soak/CallerConnection.kt
+++ b/src/test/kotlin/soak/CallerConnection.kt
@@ -82,7 +82,7 @@
             "Request-Id: ${request.id}",
             "Deadline-Ms: ${request.deadlineMs}",
             "Authorization: Bearer $key",
-            "Pieces: ${request.pieces}",
+            "Pieces: ${request.pieces},${request.pieces}",
             "Piece-Key: key of ${request.id}",
             "Token-Counts: 15,${request.steps}",
             "Prefix-Hash: ab:10,$middle:4,${request.id.hashCode().toString(HEX).removePrefix("-")}:5",
--- a/src/test/kotlin/soak/Soak.kt
+++ b/src/test/kotlin/soak/Soak.kt
@@ -25,6 +25,12 @@
 private const val LOOPBACK_SUBNETS = 250
 private const val SCHEDULER_THREADS = 4
 private const val KEY = "k1"
+private const val RETRY_RATIO = 0.2
+private const val RETRY_SLACK_PER_HOST = 6 // the most that hosts are ever told
+private const val RETRY_WINDOW_S = 10
+private val ENGINES = listOf("engine-0", "engine-1", "engine-2")
+private val DESKS = listOf("desk-0", "desk-1", "desk-2")
+private val STAGES = listOf("stage-0", "stage-1")
 
 /** The sizes of a soak. */
 internal data class SoakPlan(val seed: Long, val hosts: Int, val seconds: Int) {
@@ -32,7 +38,7 @@
 }
 
 /** What a soak saw and the promises that were broken. */
-internal data class SoakResult(val history: SoakHistory, val findings: List<Finding>) {
+internal data class SoakResult(val history: SoakHistory, val findings: List<Finding>, val copies: Int) {
     val summary: String
         get() {
             val requests = history.requests
@@ -41,6 +47,8 @@
             return "grace ${history.graceMs} ms, ${history.lives.size} lives, ${requests.size} requests $counts, " +
                 "statuses ${statuses.toSortedMap()}, ${history.inProgressAtStop} in progress at SIGTERM, " +
                 "${history.sentAfterStop} sent after it, ${history.lateEnds} late ends, ${history.crashes} crashes, " +
+                "$copies copies, targets ${history.runs.groupingBy { it.ending }.eachCount().toSortedMap()}, " +
+                "repeats ${worstWindows(history).joinToString { "${it.service} ${it.repeats} of ${it.allowed}" }}, " +
                 "findings ${findings.groupingBy {
                     it.check
                 }.eachCount()}"
@@ -62,11 +70,13 @@
         Thread(task, "soak-scheduler").apply { isDaemon = true }
     }
     private val platform = PlatformStandin()
-    private val targets = SoakTargets(platform, clock, plan.seed)
+    private val troubles = planTroubles(plan.seed, listOf(ENGINES, DESKS), STAGES, plan.seconds * MS_PER_S)
+    private val targets = SoakTargets(platform, clock, plan.seed, troubles)
     private val storeAddress = platform.storeAddress()
     private val hosts: List<HostProcess>
     private val load: SoakLoad
     private val endAtExit = Thread(::endHosts)
+    private val retrySlack = RETRY_SLACK_PER_HOST * plan.hosts
     private val storeFaults = AtomicInteger()
     private var version = 0
     private var reloads = 0
@@ -80,12 +90,14 @@
     fun run(): SoakResult {
         Runtime.getRuntime().addShutdownHook(endAtExit)
         declare()
-        targets.start(engines = 3, desks = 3, stages = 2)
+        targets.start(ENGINES, DESKS, STAGES)
+        troubles.forEach { note("planned $it") }
         hosts.indices.forEach { hosts[it].configure(settings(it)) }
         hosts.forEach { it.start() }
         awaitUp()
         load.start()
         val startedMs = clock.nowMs()
+        targets.startTroubles()
         note("load starts")
         for ((atMs, event) in planEvents(plan.seed, plan.hosts, plan.seconds * MS_PER_S)) {
             Thread.sleep(maxOf(0, startedMs + atMs - clock.nowMs()))
@@ -98,9 +110,9 @@
         stopAll()
         val requests = load.end() + probes
         val lives = hosts.flatMap { it.lives() }
-        val resultOwners = platform.resultHandles.associate { it.second to it.first }
-        val history = SoakHistory(graceMs, lives, requests, targets.runs(), resultOwners)
-        return SoakResult(history, checkHistory(history))
+        val allowance = RetryAllowance(RETRY_RATIO, retrySlack.toDouble(), RETRY_WINDOW_S * MS_PER_S)
+        val history = SoakHistory(graceMs, lives, requests, targets.runs(), targets.stageResults(), allowance)
+        return SoakResult(history, checkHistory(history), targets.copies.get())
     }
 
     /** Sends requests to [host] until it serves one. */
@@ -144,7 +156,7 @@
                 hosts[event.host].reload()
             }
 
-            is SoakEvent.Kill -> hosts[event.host].kill()
+            is SoakEvent.Kill -> event.hosts.forEach { hosts[it].kill() }
 
             is SoakEvent.Freeze -> hosts[event.host].freeze(event.ms)
 
@@ -182,8 +194,9 @@
             platform.address=$storeAddress
             bounds.grace-s=${graceMs / MS_PER_S}
             bounds.ttl_max_s=5
-            bounds.retry-ratio=0.2
-            bounds.retry-slack=${30 + reloads % 7}
+            bounds.retry-ratio=$RETRY_RATIO
+            bounds.retry-slack=${retrySlack - reloads % 7}
+            bounds.retry-window-s=$RETRY_WINDOW_S
         """.trimIndent()
     }
 
@@ -226,7 +239,8 @@
       {"name":"plan","host":"shop.example","path-prefix":"/plan/","kind":"streaming",
        "timeout-ms":${RequestKind.PIPELINE.timeoutMs},"target-latency-ms":2000,"priority":0,"service":"model",
        "max-attempts":2,"public":false,"sticky":true,
-       "stages":[{"service":"stock","after":[],"bytes":8000}],"resumable":true,"gap-aim-ms":400},
+       "stages":[{"service":"stock","after":[],"bytes":8000},{"service":"stock","after":[0],"bytes":4000}],
+       "resumable":true,"gap-aim-ms":400},
       {"name":"chat","host":"shop.example","path-prefix":"/chat/","kind":"streaming",
        "timeout-ms":${RequestKind.CHAT.timeoutMs},"target-latency-ms":2000,"priority":1,"service":"model",
        "max-attempts":1,"public":false,"sticky":true,"gap-aim-ms":400},
--- a/src/test/kotlin/soak/SoakChecks.kt
+++ b/src/test/kotlin/soak/SoakChecks.kt
@@ -16,24 +16,37 @@
 private const val TOUCH_MS = 3_000L // in which hosts have to agree
 internal const val LOST_AT_STOP = "LOST at stop"
 internal const val LOST_WITHOUT_STOP = "LOST without stop"
+internal const val MIXED_ARRIVALS = "MIXED arrivals"
+internal const val REPEATS = "BUDGET repeats"
 private const val SHOWN_CHARACTERS = 40
 private val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
+private val ANSWERED_ENDINGS = setOf(RunEnding.FINISHED, RunEnding.FAILED, RunEnding.REJECTED)
+private const val LAST_STAGE = 1
 private val DENIAL_STATUSES = setOf(400, 401, 403, 404)
 
 /** Returns the broken promises of [history]. */
 internal fun checkHistory(history: SoakHistory): List<Finding> = with(HistoryIndex(history)) {
     lostAfterStop() + lostAtStop() + lostWithoutStop() + refusedButRun() + ranTwice() + mixedAnswers() +
-        shownAsWhole() + partsOfEvents() + mixedInputs() + denied() + badEnds() + unservedLives() + crashesGoOn()
+        answersOfOtherArrivals() + repeats() + shownAsWhole() + partsOfEvents() + mixedInputs() + denied() + badEnds() +
+        unservedLives() +
+        crashesGoOn()
 }
 
 private class HistoryIndex(private val history: SoakHistory) {
     private val lives = history.lives.associateBy { it.host to it.number }
-    private val runs = history.runs.groupBy { it.requestId }
+    private val arrivals = history.runs.groupBy { it.requestId }
+    private val runs = history.runs.filter { !it.isRejected }.groupBy { it.requestId }
+    private val runsByStamp = history.runs.filter { !it.isRejected }.associateBy { it.stamp }
+
+    private val results = history.stageResults.associateBy { it.handle }
+    private val resultsByRequest = history.stageResults.groupBy { it.requestId }
 
     private fun lifeOf(record: CallerRecord) = lives.getValue(record.host to record.life)
 
     private fun runsOf(record: CallerRecord) = runs[record.request.id].orEmpty()
 
+    private fun arrivalsOf(record: CallerRecord) = arrivals[record.request.id].orEmpty()
+
     /** A killed or frozen process excuses the requests that were on it at the time. */
     private fun isExcused(record: CallerRecord): Boolean {
         val life = lifeOf(record)
@@ -56,8 +69,8 @@
             it.ending == RunEnding.CRASHED
     }
 
-    private fun describeRuns(record: CallerRecord) = runsOf(record).joinToString {
-        "${it.ending} ${it.startedMs - record.startedMs}..${it.endedMs?.minus(record.startedMs)} ms"
+    private fun describeRuns(record: CallerRecord) = arrivalsOf(record).joinToString {
+        "${it.ending} ${it.status} ${it.startedMs - record.startedMs}..${it.endedMs?.minus(record.startedMs)} ms"
     }
 
     private fun finding(check: String, record: CallerRecord, seen: String): Finding {
@@ -115,12 +128,40 @@
     fun mixedAnswers(): List<Finding> = history.requests.filter { it.isServed }.mapNotNull { record ->
         val request = record.request
         when {
-            record.stamp != stampOf(request.id) -> finding("MIXED", record, "proof is \"${record.stamp}\"")
+            record.stamp == null -> finding("MIXED", record, "no proof")
             record.body != request.expectedAnswer -> finding("MIXED", record, "body is \"${record.body}\"")
             else -> null
         }
     }
 
+    /**
+     * An answer with a proof is that of a run of its own request, with the status that the target gave. A success is that
+     * of the last arrival that was answered: after an error or a rejection there is none to show.
+     */
+    fun answersOfOtherArrivals(): List<Finding> = history.requests.mapNotNull { record ->
+        val stamp = record.stamp ?: return@mapNotNull null
+        val run = runsByStamp[stamp]
+        val last = arrivalsOf(record).lastOrNull { it.ending in ANSWERED_ENDINGS }
+        val seen = when {
+            run?.requestId != record.request.id -> "proof is \"$stamp\""
+
+            run.status != record.status -> "answered ${record.status}, where its target gave ${run.status}"
+
+            record.isServed && last != null && last.ending != RunEnding.FINISHED ->
+                "a success, where the last answer of a target was ${last.status}"
+
+            else -> return@mapNotNull null
+        }
+        finding(MIXED_ARRIVALS, record, seen)
+    }
+
+    fun repeats(): List<Finding> = worstWindows(history).filter { it.repeats > it.allowed }.map {
+        val seen =
+            "${it.repeats} in ${history.allowance.windowMs} ms from ${it.fromMs}, where ${it.allowed} are allowed; " +
+                "after ${it.reasons}"
+        Finding(REPEATS, it.service, seen)
+    }
+
     fun shownAsWhole(): List<Finding> = history.requests
         .filter { record -> record.isServed && runsOf(record).none { it.ending == RunEnding.FINISHED } }
         .map { finding("ORDER", it, "a whole answer, though no target finished one") }
@@ -132,13 +173,27 @@
 
     fun mixedInputs(): List<Finding> = history.requests.filter { it.request.kind == RequestKind.PIPELINE }
         .mapNotNull { record ->
-            val bad = runsOf(record).firstOrNull { run ->
-                run.inputs.toSet().size != record.request.pieces || run.inputs.size != record.request.pieces ||
-                    run.inputs.any { history.resultOwners[it] != record.request.id }
+            val bad = arrivalsOf(record).map { it.inputs }.firstOrNull { !areInputs(it, record, LAST_STAGE) }
+                ?: resultsOf(record).filter { it.stage > 0 }.map { it.inputs }
+                    .firstOrNull { !areInputs(it, record, LAST_STAGE - 1) }
+            bad?.let {
+                finding(
+                    "MIXED inputs",
+                    record,
+                    "inputs are ${it.map(results::get)} for ${record.request.pieces} pieces",
+                )
             }
-            bad?.let { finding("MIXED inputs", record, "inputs are ${it.inputs} for ${record.request.pieces} pieces") }
         }
 
+    private fun resultsOf(record: CallerRecord) = resultsByRequest[record.request.id].orEmpty()
+
+    /** Whether [inputs] are those of [stage] of the request of [record], each once and all of them. */
+    private fun areInputs(inputs: List<String>, record: CallerRecord, stage: Int): Boolean {
+        val of = inputs.toSet().mapNotNull { results[it] }
+        return inputs.size == record.request.pieces && of.size == inputs.size &&
+            of.all { it.requestId == record.request.id && it.stage == stage }
+    }
+
     fun denied(): List<Finding> = history.requests
         .filter { it.ending == Ending.ANSWERED && it.status in DENIAL_STATUSES }
         .map { finding("DENIED", it, "answered ${it.status}") }
@@ -165,7 +220,7 @@
 
     /** Prompts with a crashing part are held back soon after the fifth crash by the hosts that were in touch. */
     fun crashesGoOn(): List<Finding> {
-        val bad = history.runs.filter { it.hasCrashingPart }
+        val bad = history.runs.filter { it.hasCrashingPart && !it.isRejected }
         val crashes = bad.filter { it.ending == RunEnding.CRASHED }.mapNotNull { it.endedMs }.sorted()
         val fifthMs = crashes.getOrNull(CRASHES_ALLOWED - 1) ?: return emptyList()
         val records = history.requests.associateBy { it.request.id }
--- a/src/test/kotlin/soak/SoakChecksSpec.kt
+++ b/src/test/kotlin/soak/SoakChecksSpec.kt
@@ -28,17 +28,38 @@
 
 private fun served(request: SoakRequest, atMs: Long) = CallerRecord(
     request, host = 0, life = 1, startedMs = atMs, sentMs = atMs, endedMs = atMs + 700, Ending.ANSWERED, status = 200,
-    stampOf(request.id), request.expectedAnswer,
+    stampOf(request.id, 0), request.expectedAnswer,
 )
 
 private fun CallerRecord.cut(afterMs: Long) =
     copy(endedMs = startedMs + afterMs, ending = Ending.CUT, status = 0, stamp = null, body = "")
 
-private fun finished(request: SoakRequest, atMs: Long, inputs: List<String> = emptyList()) =
-    TargetRun(request.id, atMs, atMs + 600, RunEnding.FINISHED, inputs)
+private fun finished(request: SoakRequest, atMs: Long, inputs: List<String> = emptyList(), run: Int = 0) = TargetRun(
+    request.id,
+    atMs,
+    atMs + 600,
+    RunEnding.FINISHED,
+    inputs,
+    service = request.kind.service,
+    stamp = stampOf(request.id, run),
+    status = 200,
+)
+
+private fun TargetRun.failed() = copy(ending = RunEnding.FAILED, status = 500)
+
+private fun TargetRun.rejected() = copy(ending = RunEnding.REJECTED, status = 503)
+
+private fun result(handle: String, of: SoakRequest, stage: Int, vararg inputs: String) =
+    StageResult(handle, of.id, stage, inputs.toList())
 
-private fun history(record: CallerRecord, vararg runs: TargetRun, of: HostLife = life) =
-    SoakHistory(GRACE_MS, listOf(of), listOf(served(pipeline, 2_000), record), soundRun + runs, mapOf("h1" to "a"))
+private fun history(record: CallerRecord, vararg runs: TargetRun, of: HostLife = life) = SoakHistory(
+    GRACE_MS,
+    listOf(of),
+    listOf(served(pipeline, 2_000), record),
+    soundRun + runs,
+    listOf(result("g1", pipeline, 0), result("h1", pipeline, 1, "g1")),
+    RetryAllowance(ratio = 0.2, slack = 2.0, windowMs = 10_000),
+)
 
 private val soundRun = listOf(finished(pipeline, 2_050, listOf("h1")))
 
@@ -99,8 +120,7 @@
         }
 
         test("prompts with a crashing part that reach engines long after the fifth crash are reported") {
-            fun bad(atMs: Long) =
-                TargetRun(chat.id, atMs, atMs + 70, RunEnding.CRASHED, emptyList(), hasCrashingPart = true)
+            fun bad(atMs: Long) = finished(chat, atMs).copy(ending = RunEnding.CRASHED, hasCrashingPart = true)
             val crashes = (0L until 5).map { bad(1_000 + 100 * it) }
             val record = served(chat, 1_000).copy(ending = Ending.CUT)
             fun checked(late: Int, atMs: Long) = checksOf(
@@ -123,7 +143,6 @@
             val swapped = eventText("c", 2) + eventText("c", 1) + eventText("c", 3)
             for (bad in listOf(
                 good.copy(stamp = null),
-                good.copy(stamp = stampOf("b")),
                 good.copy(body = eventText("c", 1) + eventText("c", 3)),
                 good.copy(body = good.body + eventText("c", 3)),
                 good.copy(body = swapped),
@@ -151,15 +170,78 @@
 
         test("inputs of another request, one twice or too few are reported") {
             val two = pipeline.copy(id = "d", pieces = 2)
-            for (inputs in listOf(listOf("h1", "h2"), listOf("h2", "h2"), listOf("h2"), emptyList())) {
-                val checked = history(served(two, 5_000), finished(two, 5_010, inputs))
-                    .copy(resultOwners = mapOf("h1" to "a", "h2" to "d", "h3" to "d"))
-                checksOf(checked) shouldBe listOf("MIXED inputs")
+            val first = listOf(result("f2", two, 0), result("f3", two, 0))
+            fun checked(inputs: List<String>, vararg ofPieces: String): List<String> {
+                val last = listOf("h2", "h3").map { result(it, two, 1, *ofPieces) }
+                val sound = history(served(two, 5_000), finished(two, 5_010, inputs))
+                return checksOf(sound.copy(stageResults = sound.stageResults + first + last))
+            }
+            checked(listOf("h2", "h3"), "f2", "f3").shouldBeEmpty()
+            val bad = listOf(listOf("h1", "h2"), listOf("h2", "h2"), listOf("h2"), emptyList(), listOf("f2", "f3"))
+            bad.forEach { checked(it, "f2", "f3") shouldBe listOf("MIXED inputs") }
+            checked(listOf("h2", "h3"), "g1", "f3") shouldBe listOf("MIXED inputs")
+            checked(listOf("h2", "h3"), "f3") shouldBe listOf("MIXED inputs")
+        }
+
+        test("answers of another request, run or status are reported") {
+            val look = booking.copy(kind = RequestKind.LOOK)
+            val good = served(look, 5_000)
+            val first = finished(look, 5_010)
+            val second = finished(look, 5_100, run = 1)
+            val third = finished(look, 5_200, run = 2)
+            val error = good.copy(status = 500, body = "")
+            checksOf(history(error, first.failed())).shouldBeEmpty()
+            checksOf(history(good.copy(stamp = second.stamp), first.rejected(), second)).shouldBeEmpty()
+            checksOf(history(good, first.copy(ending = RunEnding.BROKEN_OFF), second)).shouldBeEmpty()
+            for ((record, runs) in listOf(
+                good.copy(stamp = stampOf("a", 0)) to listOf(first),
+                good.copy(stamp = "unknown") to listOf(first),
+                error to listOf(first),
+                error.copy(status = 502) to listOf(first.failed()),
+                good.copy(stamp = second.stamp) to listOf(first.rejected(), second, third.failed()),
+                good.copy(stamp = second.stamp) to listOf(first.failed(), second, third.rejected()),
+            )) {
+                checksOf(history(record, *runs.toTypedArray())) shouldBe listOf(MIXED_ARRIVALS)
+            }
+            val replaced = good.copy(stamp = first.stamp)
+            checksOf(history(replaced, first.failed(), second)) shouldBe listOf(MIXED_ARRIVALS)
+        }
+
+        test("more repeats in a window than its requests allow are reported, whatever the answers") {
+            val look = booking.copy(kind = RequestKind.LOOK)
+            fun checked(requestTimes: List<Long>, repeatTimes: List<Long>): List<String> {
+                val record = served(look, 500)
+                val repeats = repeatTimes.mapIndexed { number, atMs ->
+                    finished(look, atMs, run = number + 1).rejected()
+                }
+                val others = requestTimes.mapIndexed { number, atMs -> served(look.copy(id = "o$number"), atMs) }
+                val lost = others.map { it.copy(ending = Ending.UNREAD, status = 0, stamp = null, body = "") }
+                val runs = listOf(finished(look, 510)) + repeats + finished(look, 60_000, run = repeats.size + 1)
+                val sound = history(record.copy(stamp = stampOf(look.id, repeats.size + 1)), *runs.toTypedArray())
+                return checksOf(sound.copy(requests = sound.requests + lost))
             }
+            val four = List(4) { 30_000L + it }
+            checked(List(10) { 30_000L }, four).shouldBeEmpty()
+            checked(List(9) { 30_000L }, four) shouldBe listOf(REPEATS)
+            checked(List(10) { 20_005L }, four).shouldBeEmpty()
+            checked(List(10) { 10_000L }, four) shouldBe listOf(REPEATS)
+            checked(List(10) { 45_000L }, four) shouldBe listOf(REPEATS)
+            checked(emptyList(), listOf(30_000, 30_001, 40_000, 40_001)).shouldBeEmpty()
+            checked(emptyList(), listOf(30_000, 30_001, 39_999)) shouldBe listOf(REPEATS)
+            checked(emptyList(), listOf(22_000, 30_001, 31_999)) shouldBe listOf(REPEATS)
+        }
+
+        test("repeats that reach one service are not paid by the requests for another") {
+            val other = List(20) { served(chat.copy(id = "o$it"), 5_000).copy(ending = Ending.UNREAD, status = 0) }
+            val arrivals = List(4) { finished(booking, 5_010, run = it).rejected() }
+            val sound = history(served(booking, 5_000).copy(status = 503, stamp = null), *arrivals.toTypedArray())
+            val unread = other.map { it.copy(stamp = null, body = "") }
+            checksOf(sound.copy(requests = sound.requests + unread)) shouldBe listOf(REPEATS)
         }
 
         test("a denial of what all versions allow is reported") {
-            checksOf(history(served(booking, 5_000).copy(status = 401))) shouldBe listOf("DENIED")
+            checksOf(history(served(booking, 5_000).copy(status = 401, stamp = null, body = ""))) shouldBe
+                listOf("DENIED")
         }
 
         test("hosts that fail, outlast their grace or end by themselves are reported") {
--- a/src/test/kotlin/soak/SoakEvents.kt
+++ b/src/test/kotlin/soak/SoakEvents.kt
@@ -8,6 +8,9 @@
 private const val QUIET_START_MS = 3_000L
 private const val SERIES_SHARE = 0.35 // of the events that follow the one before almost at once
 private const val SERIES_GAP_MS = 150
+private const val KILLS_WITHIN_MS = 10_000L
+private const val MIN_BETWEEN_KILLS_MS = 2_000L // enough to start again
+private const val KILLS_SALT = 104_729L
 private const val MIN_GAP_MS = 300
 private const val GAP_SPREAD_MS = 2_200
 private const val MIN_FREEZE_MS = 200L
@@ -23,8 +26,8 @@
     /** SIGHUP with changed settings. */
     data class Reload(val host: Int) : SoakEvent
 
-    /** SIGKILL. */
-    data class Kill(val host: Int) : SoakEvent
+    /** SIGKILL to [hosts] at once. */
+    data class Kill(val hosts: List<Int>) : SoakEvent
 
     /** SIGSTOP, and SIGCONT after [ms]. */
     data class Freeze(val host: Int, val ms: Long) : SoakEvent
@@ -49,7 +52,15 @@
         val isSeries = random.nextDouble() < SERIES_SHARE
         atMs += if (isSeries) random.nextInt(SERIES_GAP_MS) else MIN_GAP_MS + random.nextInt(GAP_SPREAD_MS)
     }
-    return planned
+    return (planned + planKillsOfAll(seed, hosts, durationMs)).sortedBy { it.atMs }
+}
+
+/** All hosts are killed together, twice within [KILLS_WITHIN_MS]; drawn apart from the other events of a seed. */
+private fun planKillsOfAll(seed: Long, hosts: Int, durationMs: Long): List<PlannedEvent> {
+    val random = Random(seed * KILLS_SALT)
+    val firstMs = QUIET_START_MS + random.nextInt(maxOf(1, (durationMs - 2 * KILLS_WITHIN_MS).toInt()))
+    val secondMs = firstMs + MIN_BETWEEN_KILLS_MS + random.nextInt((KILLS_WITHIN_MS - MIN_BETWEEN_KILLS_MS).toInt())
+    return listOf(firstMs, secondMs).map { PlannedEvent(it, SoakEvent.Kill((0 until hosts).toList())) }
 }
 
 private fun randomEvent(random: Random, hosts: Int): SoakEvent {
@@ -58,7 +69,7 @@
         in 0 until 30 -> SoakEvent.Stop(listOf(host))
         in 30 until 42 -> SoakEvent.Stop((0 until hosts).filter { it == host || random.nextBoolean() })
         in 42 until 60 -> SoakEvent.Reload(host)
-        in 60 until 68 -> SoakEvent.Kill(host)
+        in 60 until 68 -> SoakEvent.Kill(listOf(host))
         in 68 until 78 -> SoakEvent.Freeze(host, MIN_FREEZE_MS + random.nextInt(FREEZE_SPREAD_MS))
         in 78 until 92 -> SoakEvent.Declare
         else -> SoakEvent.StoreDown(MIN_STORE_DOWN_MS + random.nextInt(STORE_DOWN_SPREAD_MS))
--- a/src/test/kotlin/soak/SoakHistory.kt
+++ b/src/test/kotlin/soak/SoakHistory.kt
@@ -9,17 +9,19 @@
  *
  * @property isRepeatable whether a request may run more than once.
  * @property isStream whether the answer is a stream of events.
+ * @property service the service of its route.
  */
 internal enum class RequestKind(
     val pathPrefix: String,
     val isRepeatable: Boolean,
     val isStream: Boolean,
     val timeoutMs: Long,
+    val service: String,
 ) {
-    PIPELINE("/plan/", isRepeatable = true, isStream = true, timeoutMs = 9_000),
-    CHAT("/chat/", isRepeatable = false, isStream = true, timeoutMs = 9_000),
-    BOOK("/book/", isRepeatable = false, isStream = false, timeoutMs = 8_000),
-    LOOK("/look/", isRepeatable = true, isStream = false, timeoutMs = 8_000),
+    PIPELINE("/plan/", isRepeatable = true, isStream = true, timeoutMs = 9_000, service = "model"),
+    CHAT("/chat/", isRepeatable = false, isStream = true, timeoutMs = 9_000, service = "model"),
+    BOOK("/book/", isRepeatable = false, isStream = false, timeoutMs = 8_000, service = "desk"),
+    LOOK("/look/", isRepeatable = true, isStream = false, timeoutMs = 8_000, service = "desk"),
 }
 
 /**
@@ -53,8 +55,8 @@
 /** The text of event [number] of the stream of request [id]. */
 internal fun eventText(id: String, number: Int) = "id: $number\ndata: $id $number\n\n"
 
-/** The proof that the answer to request [id] is from a target. */
-internal fun stampOf(id: String) = "stamp of $id"
+/** The proof that the answer to request [id] is from its run [run], which numbers those of all targets. */
+internal fun stampOf(id: String, run: Int) = "stamp of $id run $run"
 
 /** How a request ended for its caller. */
 internal enum class Ending {
@@ -97,6 +99,12 @@
     RUNNING,
     FINISHED,
 
+    /** The target answered that it did not run it. */
+    REJECTED,
+
+    /** The target answered with an error. */
+    FAILED,
+
     /** The caller or a host closed the connection. */
     DROPPED,
 
@@ -108,10 +116,12 @@
 }
 
 /**
- * A request as a target saw it, unless the target refused it.
+ * A request as a target saw it.
  *
  * @property inputs the handles of the results that it was sent with.
  * @property hasCrashingPart whether the target crashes when it begins to answer it.
+ * @property stamp the proof that its answer bears, unless the target rejected it.
+ * @property status the status that the target gave; null if it gave none.
  */
 internal data class TargetRun(
     val requestId: String,
@@ -120,7 +130,18 @@
     val ending: RunEnding,
     val inputs: List<String>,
     val hasCrashingPart: Boolean = false,
-)
+    val service: String,
+    val stamp: String,
+    val status: Int? = null,
+) {
+    val isRejected: Boolean get() = ending == RunEnding.REJECTED
+}
+
+/** The result of piece [handle] of a stage of request [requestId], made from [inputs]. */
+internal data class StageResult(val handle: String, val requestId: String, val stage: Int, val inputs: List<String>)
+
+/** In any window of [windowMs], [ratio] repeats are allowed for each request, and [slack] besides. */
+internal data class RetryAllowance(val ratio: Double, val slack: Double, val windowMs: Long)
 
 /** A span of time. */
 internal data class Span(val fromMs: Long, val toMs: Long) {
@@ -153,17 +174,14 @@
     val isLast: Boolean = false,
 )
 
-/**
- * All that one soak saw.
- *
- * @property resultOwners the request of each result that a stage target made, by the handle of the result.
- */
+/** All that one soak saw, with [runs] in the order of their arrival. */
 internal data class SoakHistory(
     val graceMs: Long,
     val lives: List<HostLife>,
     val requests: List<CallerRecord>,
     val runs: List<TargetRun>,
-    val resultOwners: Map<String, String>,
+    val stageResults: List<StageResult>,
+    val allowance: RetryAllowance,
 ) {
     private val stops = lives.mapNotNull { life -> life.stopMs?.let { (life.host to life.number) to it } }.toMap()
 
