Let all targets of a service fail while all hosts are killed; vary the share of repeats

The soak's worst windows stayed at three quarters of the allowance: the trouble of all targets of a service seldom fell together with the kills of all hosts, and callers whom stopping hosts refuse count as requests, which pay for repeats. With half of the services the trouble now spans both kills, and the seed chooses retry-ratio from 0.05, 0.1 and 0.2.

--- a/src/test/kotlin/soak/Soak.kt
+++ b/src/test/kotlin/soak/Soak.kt
@@ -25,7 +25,7 @@
 private const val LOOPBACK_SUBNETS = 250
 private const val SCHEDULER_THREADS = 4
 private const val KEY = "k1"
-private const val RETRY_RATIO = 0.2
+private val RETRY_RATIOS = listOf(0.05, 0.1, 0.2)
 private const val RETRY_SLACK_PER_HOST = 6 // the most that hosts are ever told
 private const val RETRY_WINDOW_S = 10
 private val ENGINES = listOf("engine-0", "engine-1", "engine-2")
@@ -35,6 +35,12 @@
 /** The sizes of a soak. */
 internal data class SoakPlan(val seed: Long, val hosts: Int, val seconds: Int) {
     val callers: Int get() = hosts * CALLERS_PER_HOST
+    val allowance: RetryAllowance
+        get() = RetryAllowance(
+            RETRY_RATIOS[seed.mod(RETRY_RATIOS.size)],
+            RETRY_SLACK_PER_HOST * hosts.toDouble(),
+            RETRY_WINDOW_S * MS_PER_S,
+        )
 }
 
 /** What a soak saw and the promises that were broken. */
@@ -76,7 +82,6 @@
     private val hosts: List<HostProcess>
     private val load: SoakLoad
     private val endAtExit = Thread(::endHosts)
-    private val retrySlack = RETRY_SLACK_PER_HOST * plan.hosts
     private val storeFaults = AtomicInteger()
     private var version = 0
     private var reloads = 0
@@ -110,8 +115,7 @@
         stopAll()
         val requests = load.end() + probes
         val lives = hosts.flatMap { it.lives() }
-        val allowance = RetryAllowance(RETRY_RATIO, retrySlack.toDouble(), RETRY_WINDOW_S * MS_PER_S)
-        val history = SoakHistory(graceMs, lives, requests, targets.runs(), targets.stageResults(), allowance)
+        val history = SoakHistory(graceMs, lives, requests, targets.runs(), targets.stageResults(), plan.allowance)
         return SoakResult(history, checkHistory(history), targets.copies.get())
     }
 
@@ -194,8 +198,8 @@
             platform.address=$storeAddress
             bounds.grace-s=${graceMs / MS_PER_S}
             bounds.ttl_max_s=5
-            bounds.retry-ratio=$RETRY_RATIO
-            bounds.retry-slack=${retrySlack - reloads % 7}
+            bounds.retry-ratio=${plan.allowance.ratio}
+            bounds.retry-slack=${plan.allowance.slack - reloads % 7}
             bounds.retry-window-s=$RETRY_WINDOW_S
         """.trimIndent()
     }
--- a/src/test/kotlin/soak/SoakEvents.kt
+++ b/src/test/kotlin/soak/SoakEvents.kt
@@ -10,6 +10,7 @@
 private const val SERIES_GAP_MS = 150
 private const val KILLS_WITHIN_MS = 10_000L
 private const val MIN_BETWEEN_KILLS_MS = 2_000L // enough to start again
+private const val BETWEEN_KILLS_SPREAD_MS = (KILLS_WITHIN_MS - MIN_BETWEEN_KILLS_MS).toInt()
 private const val KILLS_SALT = 104_729L
 private const val MIN_GAP_MS = 300
 private const val GAP_SPREAD_MS = 2_200
@@ -55,12 +56,14 @@
     return (planned + planKillsOfAll(seed, hosts, durationMs)).sortedBy { it.atMs }
 }
 
-/** All hosts are killed together, twice within [KILLS_WITHIN_MS]; drawn apart from the other events of a seed. */
-private fun planKillsOfAll(seed: Long, hosts: Int, durationMs: Long): List<PlannedEvent> {
+private fun planKillsOfAll(seed: Long, hosts: Int, durationMs: Long): List<PlannedEvent> =
+    killsOfAllMs(seed, durationMs).map { PlannedEvent(it, SoakEvent.Kill((0 until hosts).toList())) }
+
+/** When all hosts are killed together, twice within ten seconds; drawn apart from the other events of a seed. */
+internal fun killsOfAllMs(seed: Long, durationMs: Long): List<Long> {
     val random = Random(seed * KILLS_SALT)
     val firstMs = QUIET_START_MS + random.nextInt(maxOf(1, (durationMs - 2 * KILLS_WITHIN_MS).toInt()))
-    val secondMs = firstMs + MIN_BETWEEN_KILLS_MS + random.nextInt((KILLS_WITHIN_MS - MIN_BETWEEN_KILLS_MS).toInt())
-    return listOf(firstMs, secondMs).map { PlannedEvent(it, SoakEvent.Kill((0 until hosts).toList())) }
+    return listOf(firstMs, firstMs + MIN_BETWEEN_KILLS_MS + random.nextInt(BETWEEN_KILLS_SPREAD_MS))
 }
 
 private fun randomEvent(random: Random, hosts: Int): SoakEvent {
--- a/src/test/kotlin/soak/SoakTroubles.kt
+++ b/src/test/kotlin/soak/SoakTroubles.kt
@@ -12,6 +12,8 @@
 private const val SHARE_SPREAD = 0.5
 private const val MIN_COMMON_SHARE = 0.4
 private const val COMMON_SHARE_SPREAD = 0.5
+private const val MAX_BEFORE_KILLS_MS = 6_000
+private const val AT_KILLS_MS = 18_000L // from before the first of the two kills until after the second
 private const val TROUBLES_SALT = 7_919L // a draw of its own, which does not disturb the others of a seed
 
 /** How a target misbehaves. */
@@ -37,7 +39,7 @@
 
 /**
  * Plans the troubles of the targets of each of [services] and of the stage targets [stages] for [durationMs] from [seed].
- * Once in the run, all targets of a service have the same trouble.
+ * Once in the run, all targets of a service have the same trouble; with half of the services, while all hosts are killed.
  */
 internal fun planTroubles(
     seed: Long,
@@ -60,7 +62,9 @@
             }
         }
         val common = kinds[1 + random.nextInt(kinds.size - 1)]
-        val commonSpan = span()
+        val isAtKills = random.nextBoolean()
+        val fromMs = killsOfAllMs(seed, durationMs).first() - random.nextInt(MAX_BEFORE_KILLS_MS)
+        val commonSpan = if (isAtKills) Span(fromMs, fromMs + AT_KILLS_MS) else span()
         val commonShare = MIN_COMMON_SHARE + COMMON_SHARE_SPREAD * random.nextDouble()
         own + targets.map { TroubleSpan(it, common, commonSpan, commonShare) }
     }
