--- a/src/test/kotlin/soak/RetryWindow.kt
+++ b/src/test/kotlin/soak/RetryWindow.kt
@@ -1,6 +1,7 @@
 /*
  * Counts the repeats that reach the targets of each service, over sliding windows, as the users' rule does: arrivals
- * beyond the first of each request, whatever the answer, against the requests that callers sent on a route to the service.
+ * beyond the first of each request, whatever the answer, against the requests that callers sent on a route to the
+ * service.
  */
 package org.sesamerouter.soak
 
--- a/src/test/kotlin/soak/SoakChecks.kt
+++ b/src/test/kotlin/soak/SoakChecks.kt
@@ -135,8 +135,8 @@
     }
 
     /**
-     * An answer with a proof is that of a run of its own request, with the status that the target gave. A success is that
-     * of the last arrival that was answered: after an error or a rejection there is none to show.
+     * An answer with a proof is that of a run of its own request, with the status that the target gave. A success is
+     * that of the last arrival that was answered: after an error or a rejection there is none to show.
      */
     fun answersOfOtherArrivals(): List<Finding> = history.requests.mapNotNull { record ->
         val stamp = record.stamp ?: return@mapNotNull null
@@ -157,7 +157,8 @@
 
     fun repeats(): List<Finding> = worstWindows(history).filter { it.repeats > it.allowed }.map {
         val seen =
-            "${it.repeats} in ${history.allowance.windowMs} ms from ${it.fromMs}, where ${it.allowed} are allowed; " +
+            "${it.repeats} in ${history.allowance.windowMs} ms from ${it.fromMs}, " +
+            "where ${it.allowed} are allowed; " +
                 "after ${it.reasons}"
         Finding(REPEATS, it.service, seen)
     }
--- a/src/test/kotlin/soak/SoakStageTarget.kt
+++ b/src/test/kotlin/soak/SoakStageTarget.kt
@@ -1,6 +1,6 @@
 /*
- * A stage target of a soak. It answers each call after a while, and at times rejects calls, answers with an error, sends
- * bytes that are no answer, or loses results.
+ * A stage target of a soak. It answers each call after a while, and at times rejects calls, answers with an error,
+ * sends bytes that are no answer, or loses results.
  */
 package org.sesamerouter.soak
 
--- a/src/test/kotlin/soak/SoakTroubles.kt
+++ b/src/test/kotlin/soak/SoakTroubles.kt
@@ -1,5 +1,6 @@
 /*
- * What is wrong with the targets of a soak: which of them misbehave how, when and for how long, as a function of its seed.
+ * What is wrong with the targets of a soak: which of them misbehave how, when and for how long, as a function of its
+ * seed.
  */
 package org.sesamerouter.soak
 
@@ -38,8 +39,9 @@
 internal data class TroubleSpan(val target: String, val trouble: Trouble, val span: Span, val share: Double)
 
 /**
- * Plans the troubles of the targets of each of [services] and of the stage targets [stages] for [durationMs] from [seed].
- * Once in the run, all targets of a service have the same trouble; with half of the services, while all hosts are killed.
+ * Plans the troubles of the targets of each of [services] and of the stage targets [stages] for [durationMs] from
+ * [seed]. Once in the run, all targets of a service have the same trouble; with half of the services, while all hosts
+ * are killed.
  */
 internal fun planTroubles(
     seed: Long,
--- a/src/test/kotlin/soak/TargetServer.kt
+++ b/src/test/kotlin/soak/TargetServer.kt
@@ -1,6 +1,7 @@
 /*
- * The server of a target of a soak. It serves one request at a time on a connection and writes the bytes that it is given,
- * also ones that are no answer. A second copy of an answer comes late, where the next answer on its connection is due.
+ * The server of a target of a soak. It serves one request at a time on a connection and writes the bytes that it is
+ * given, also ones that are no answer. A second copy of an answer comes late, where the next answer on its connection
+ * is due.
  */
 package org.sesamerouter.soak
 
