--- a/src/test/kotlin/web/ConnectionHistories.kt
+++ b/src/test/kotlin/web/ConnectionHistories.kt
@@ -254,8 +254,7 @@
     }
 
     private fun endInput(call: ModelCall, isBrokenOff: Boolean) {
-        val isReset =
-            (isBrokenOff && call.answer.endsWithConnection) || (!call.hasToEnd && random.nextBoolean())
+        val isReset = (isBrokenOff && call.answer.endsWithConnection) || (!call.hasToEnd && random.nextBoolean())
         if (isReset) {
             if (call.answer.endsWithConnection) call.isOwnWhole = false
             channel.pipeline().fireExceptionCaught(java.io.IOException("Connection reset"))
