Do not charge for stages that are made again before their request has reached its service

What callers saw: requests whose stage inputs were gone ended with a failed stage once the allowance was used up, which it always is just after the start of a process. Cause: the gate counted making stages again as a repeat. The request has reached its service at most as often as it has passes for. The bound of two reruns stays. RequestFlowsSpec and SendGateSpec pass.

--- a/src/main/kotlin/retry/RepeatReason.kt
+++ b/src/main/kotlin/retry/RepeatReason.kt
@@ -3,7 +3,7 @@
  */
 package org.sesamerouter.retry
 
-/** What ended the send before, or the stages before the first send. */
+/** What ended the send before. */
 enum class RepeatReason {
     /** The target states that it did not run the request. */
     REJECTED,
@@ -11,9 +11,6 @@
     /** The target could not fetch the results of the stages. */
     INPUTS_GONE,
 
-    /** A stage could not fetch the results of the stages before it; the request was at no target of its service yet. */
-    STAGE_INPUTS_GONE,
-
     /** The target answered with an error. */
     FAILED,
 
--- a/src/main/kotlin/serving/RequestFlows.kt
+++ b/src/main/kotlin/serving/RequestFlows.kt
@@ -187,17 +187,17 @@
     }
 
     private fun onStageFailed(flow: Flow, failure: JobFailure, now: Long) {
-        val isWorthwhile = failure == JobFailure.INPUT_GONE && now + MIN_SEND_MS < flow.request.deadlineMs
-        if (isWorthwhile && mayMakeStagesAgain(flow, RepeatReason.STAGE_INPUTS_GONE, now)) {
-            makeStagesAgain(flow, now)
+        val mayMakeAgain = failure == JobFailure.INPUT_GONE && flow.stageReruns < MAX_STAGE_RERUNS
+        if (mayMakeAgain && now + MIN_SEND_MS < flow.request.deadlineMs) {
+            makeStagesAgain(flow, now) // the request has a pass for its send already
         } else {
             fail(flow, if (failure == JobFailure.LATE) RejectReason.OVERLOAD else RejectReason.STAGE_FAILED)
         }
     }
 
-    /** Whether the stages may be made again since their results are gone; the request then has a pass for its send. */
-    private fun mayMakeStagesAgain(flow: Flow, reason: RepeatReason, now: Long): Boolean =
-        flow.stageReruns < MAX_STAGE_RERUNS && takePass(flow, reason, now)
+    /** Whether a request may be sent again with new results since a target could not fetch those that it had. */
+    private fun maySendWithNewResults(flow: Flow, now: Long): Boolean =
+        flow.stageReruns < MAX_STAGE_RERUNS && takePass(flow, RepeatReason.INPUTS_GONE, now)
 
     private fun makeStagesAgain(flow: Flow, now: Long) {
         discardResults(flow)
@@ -346,7 +346,7 @@
 
     private fun onNotRun(flow: Flow, status: Int, now: Long) = when {
         status != INPUTS_GONE_STATUS -> resend(flow, now)
-        mayMakeStagesAgain(flow, RepeatReason.INPUTS_GONE, now) -> makeStagesAgain(flow, now)
+        maySendWithNewResults(flow, now) -> makeStagesAgain(flow, now)
         else -> fail(flow, RejectReason.TARGETS_REFUSED)
     }
 
