--- a/src/main/kotlin/retry/SendGate.kt
+++ b/src/main/kotlin/retry/SendGate.kt
@@ -43,8 +43,8 @@
     }
 
     /**
-     * Returns the pass for a send of [pass] at [now], or null if the allowance is used up by now. A repeat counts where it
-     * arrives, which may be seconds after its pass was taken: its stages may have been made again.
+     * Returns the pass for a send of [pass] at [now], or null if the allowance is used up by now. A repeat counts where
+     * it arrives, which may be seconds after its pass was taken: its stages may have been made again.
      */
     fun use(pass: SendPass, service: String, now: Long): SendPass? {
         val reason = pass.reason
--- a/src/test/kotlin/serving/RepeatFleet.kt
+++ b/src/test/kotlin/serving/RepeatFleet.kt
@@ -32,7 +32,7 @@
 private const val SLOW_CONNECT_SHARE = 0.2 // of the sends
 private const val SLOW_CONNECT_MS = 700L
 
-/** How a target answers a request. Stages fail with INPUTS_GONE only; engines answer 409 to both kinds of lost inputs. */
+/** How a target answers a request. Only INPUTS_GONE fails stages as well. */
 internal enum class Answer { SERVED, ERROR, REJECTED, RESET, SILENT, INPUTS_GONE, INPUTS_UNREACHABLE, REFUSED }
 
 /** From [fromMs] to [toMs], [share] of the requests, and of the stage jobs, fail in one of the ways [answers]. */
--- a/src/test/kotlin/serving/RepeatFleetSpec.kt
+++ b/src/test/kotlin/serving/RepeatFleetSpec.kt
@@ -176,7 +176,7 @@
             }.shouldBeEmpty()
         }
 
-        // Guards against BUDGET: a pass is counted when it is taken, but its request arrives after its stages are made again.
+        // Guards against BUDGET: passes were counted when taken, but stages may be made again before the request arrives.
         test("stages take seconds to be made again: repeats stay within the allowance of any window") {
             overspent(701) { seed, hosts, random ->
                 val fastFrom = random.nextLong(12_000, 20_000)
