--- a/src/test/kotlin/serving/RepeatFleetSpec.kt
+++ b/src/test/kotlin/serving/RepeatFleetSpec.kt
@@ -176,7 +176,7 @@
             }.shouldBeEmpty()
         }
 
-        // Guards against BUDGET: passes were counted when taken, but stages may be made again before the request arrives.
+        // Guards against BUDGET: passes were counted when taken, seconds before their requests arrived.
         test("stages take seconds to be made again: repeats stay within the allowance of any window") {
             overspent(701) { seed, hosts, random ->
                 val fastFrom = random.nextLong(12_000, 20_000)
