--- a/src/test/kotlin/soak/SoakChecks.kt
+++ b/src/test/kotlin/soak/SoakChecks.kt
@@ -158,7 +158,7 @@
     fun repeats(): List<Finding> = worstWindows(history).filter { it.repeats > it.allowed }.map {
         val seen =
             "${it.repeats} in ${history.allowance.windowMs} ms from ${it.fromMs}, " +
-            "where ${it.allowed} are allowed; " +
+                "where ${it.allowed} are allowed; " +
                 "after ${it.reasons}"
         Finding(REPEATS, it.service, seen)
     }
