--- a/src/test/kotlin/retry/RepeatWindowSpec.kt
+++ b/src/test/kotlin/retry/RepeatWindowSpec.kt
@@ -19,9 +19,9 @@
 private const val ARRIVAL_DELAY_MS = 1_000L // between a pass and the arrival at the target
 
 private class Times {
-    val times = ArrayList<Long>()
+    val all = ArrayList<Long>()
 
-    fun inWindow(from: Long) = times.count { it >= from && it < from + WINDOW_MS }
+    fun inWindow(from: Long) = all.count { it >= from && it < from + WINDOW_MS }
 }
 
 /** One host: its window and all of its events, by which [recount] decides without a ring of slots. */
@@ -77,15 +77,15 @@
             if (left != recounted) wrong += "seed $seed at $now: $left left, $recounted by a recount"
             if (left >= 1) {
                 host.repeat(now)
-                repeats.times += now + random.nextLong(maxArrivalDelayMs)
+                repeats.all += now + random.nextLong(maxArrivalDelayMs)
             }
         } else {
             host.request(now)
-            requests.times += now - random.nextLong(READ_DELAY_MS)
+            requests.all += now - random.nextLong(READ_DELAY_MS)
         }
     }
     // A window with most repeats begins with one of them.
-    for (from in repeats.times.distinct()) {
+    for (from in repeats.all.distinct()) {
         val allowed = share * listOf(0, WINDOW_MS / 2, WINDOW_MS).maxOf { requests.inWindow(from - it) } + totalSlack
         val count = repeats.inWindow(from)
         if (count > allowed + 1e-9) wrong += "seed $seed: $count repeats from $from on, $allowed allowed"
