Split the repeats of a host from FrontHost

Behaviour is the same. The head of TargetChecks says what a check is. Measured: SendGateSpec, RequestFlowsSpec, LateCopySpec, TargetChecksSpec and DependencyRulesSpec, 51 tests, none failed.

--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -30,8 +30,6 @@
 import org.sesamerouter.quarantine.DEATHS_TO_QUARANTINE_SHARED
 import org.sesamerouter.quarantine.Quarantine
 import org.sesamerouter.retry.RepeatTerms
-import org.sesamerouter.retry.SendGate
-import org.sesamerouter.retry.fleetAllowance
 import org.sesamerouter.routing.ServiceTargets
 import org.sesamerouter.routing.TargetNotice
 import org.sesamerouter.routing.rendezvous
@@ -54,7 +52,6 @@
 private const val QUEUE_TICK_MS = 25L // while this host runs a queue of a pool
 private const val REQUEST_TICK_MS = 50L // while it has requests in progress
 private const val IDLE_TICK_MS = 100L
-private const val ALLOWANCE_INTERVAL_MS = 1_000L // between two updates of the gauges
 private const val PERCENT = 100
 private const val MIN_HOSTS_FOR_CALLERS = 16 // from this many on, the owners of queues are left to their queues
 private const val PROBE_INTERVAL_MS = 400L // a dead host is removed from address responses within a few intervals
@@ -110,16 +107,16 @@
         onJobEnded = ::onStageEnded,
     )
     internal val quarantine = Quarantine(QUARANTINE_MS, QUARANTINE_CAPACITY, DEATHS_TO_QUARANTINE_SHARED)
-    private val registeredHosts = RegisteredHosts()
-    private val allowance = fleetAllowance(::repeatTerms, clock.nowMs(), ::slackSharers)
-    private val sendGate = SendGate(allowance)
+    private val repeats = HostRepeats(clock, membership, metrics, log) {
+        RepeatTerms(settings.retryShare, settings.retrySlack, settings.retryWindowMs)
+    }
     internal val flows = RequestFlows(
         HostFlowContext(),
         engines,
         serviceTargets,
         quarantine,
         settings.dataCentre,
-        sendGate,
+        repeats.gate,
     )
     private val checks = TargetChecks(client, eventLoop, ::onTargetChecked)
     private val servers = ArrayList<RequestServer>()
@@ -129,17 +126,6 @@
     /** When the configuration in force was first in force on any host, as far as this host knows. */
     private var firstInForceMs = 0L
 
-    private var allowancePublishedMs = 0L
-
-    @Volatile
-    private var repeatsLeft: Map<String, Int> = emptyMap()
-
-    @Volatile
-    private var repeatHosts = 0
-
-    @Volatile
-    private var slackShare = 0.0
-
     private var publishedState = Triple(-1L, -1L, -1L)
     private var ownersFor = -1L
     private var knownOwners = emptyList<Member>()
@@ -202,8 +188,7 @@
 
     private fun registerGauges() {
         metrics.gauge("forward.in.progress") { flows.inProgress }
-        metrics.gauge("repeats.hosts") { repeatHosts }
-        metrics.gauge("repeats.slack.share") { slackShare }
+        repeats.registerGauges()
         metrics.gauge("quarantine.parts") { quarantine.parts.size }
         metrics.gauge("quarantine.parts.held") { quarantine.parts.heldBack }
         metrics.gauge("stage.waiting") { stages.waiting }
@@ -265,8 +250,7 @@
         peers.onTick(now)
         configuration.onTick(now)
         storeAdapter.onTick(now)
-        sendGate.takeChanges(now).forEach { log.writeAllowance(it, slackSharers()) }
-        publishAllowance(now)
+        repeats.onTick(now)
         val isPauseOver = usableTargets.onTick(now)
         if (directory.onTick(now) || isPauseOver) onTargetsChanged(now)
         peerUpdates.onTick(now)
@@ -369,25 +353,13 @@
                 log.writeDecision(effect, now, now - directory.lastContiguousReadMs)
                 if (effect is FlowEffect.Send) {
                     metrics.sends.increment()
-                    countRepeat(effect)
+                    repeats.onSend(effect)
                 }
                 eventLoop.execute { exchanges.apply(effect) }
             }
         }
     }
 
-    private fun countRepeat(send: FlowEffect.Send) {
-        val service = send.target.service
-        val reason = send.pass.reason
-        if (reason !=
-            null
-        ) {
-            metrics.countRepeat(service, reason)
-        } else if (send.isRepeat) {
-            metrics.countUnpaidRepeat(service)
-        }
-    }
-
     private fun checkTarget(target: TargetEntry) {
         val healthPath = config?.services?.get(target.service)?.healthPath ?: return
         checks.start(target, healthPath)
@@ -495,7 +467,7 @@
     override fun pauseLeftMs(target: TargetEntry): Long = usableTargets.pauseLeftMs(target, clock.nowMs())
 
     override fun onHosts(addresses: List<String>) {
-        registeredHosts.onRead(addresses.distinct().size, clock.nowMs())
+        repeats.onRegisteredHosts(addresses.distinct().size)
         membership.setSeeds((addresses + settings.seedAddresses).distinct())
     }
 
@@ -528,23 +500,6 @@
 
     override fun targetAt(address: String): TargetEntry? = usableTargets.at(address)
 
-    private fun publishAllowance(now: Long) {
-        if (now - allowancePublishedMs < ALLOWANCE_INTERVAL_MS) return
-        allowancePublishedMs = now
-        val uses = allowance.uses(now)
-        (uses.keys - repeatsLeft.keys).forEach { service ->
-            metrics.gauge("repeats.left", "service", service) { repeatsLeft[service] ?: 0 }
-        }
-        repeatsLeft = uses.mapValues { it.value.left }
-        repeatHosts = slackSharers()
-        slackShare = allowance.slackShare(now)
-    }
-
-    private fun repeatTerms() = RepeatTerms(settings.retryShare, settings.retrySlack, settings.retryWindowMs)
-
-    /** Number of hosts that may use a part of the slack: hosts that died some minutes ago at most are still members. */
-    private fun slackSharers(): Int = maxOf(membership.all().size, registeredHosts.count(clock.nowMs()))
-
     private inner class Fleet : FleetView {
         override val version: Long get() = config?.version ?: -1
 
--- a/src/main/kotlin/front/TargetChecks.kt
+++ b/src/main/kotlin/front/TargetChecks.kt
@@ -1,6 +1,6 @@
 /*
- * Checks whether a target that lost a response still runs: it asks for its health on a connection of its own,
- * since the answer bears no id.
+ * Checks whether a target that lost a response still runs, by its health path. Each check opens a connection that
+ * carries nothing else, since its answer bears no id.
  */
 package org.sesamerouter.front
 
