review: cases of a request with many pieces and of a list in two pages

Tried: a server's entry is removed between two pages of the newest records while the hosts start. Seen: both hosts send to that server until it ends, 15 s later; without the second page they do not.

--- a/review/lib2/Lab.java
+++ b/review/lib2/Lab.java
@@ -5,7 +5,7 @@
 import java.nio.file.*;
 import java.util.*;
 import java.util.concurrent.*;
-import java.util.concurrent.atomic.*;
+import java.util.function.Consumer;
 
 /**
  * A small deployment on loopback addresses: the platform's store, servers, clients, and the hosts, which are started as
@@ -161,13 +161,14 @@
     /** The platform's store: keyed topics with one partition. */
     class Store {
         final Map<String, List<Object[]>> topics = new HashMap<>();
+        /** The most records on a page of the newest ones. */
         int pageItems = 500;
         /** Rises each time that the store comes back from a copy. */
         int era;
         /** Time that an answer takes. */
         volatile long answerMs = 4;
-        /** Called after each page of log-newest that has another one behind it. */
-        volatile Runnable afterPage = () -> { };
+        /** Called with the topic after each answer to a call for the newest records. */
+        volatile Consumer<String> afterNewest = topic -> { };
         final Server server = new Server(this::handle);
 
         Store() throws IOException { }
@@ -244,7 +245,7 @@
             }
             String body = "{\"items\":[" + items + "],\"more\":" + more + ",\"end\":" + end + "}";
             reply(connection, 200, "json", body.getBytes());
-            if (more) afterPage.run();
+            afterNewest.accept(topic);
         }
 
         private void read(String topic, int from, long waitMs, Connection connection) throws Exception {
