review: a case of entries that are lost after an outage of the store

Tried: an outage of the store of 4.5 s in which the entries of servers lapse, as the site's list has it, after the machines are back from the final fault.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx128m -cp target/review-2 PagedEntries review/8/record.txt
+exec java -Xmx128m -cp target/review-2 ManyPieces review/8/record.txt
--- a/review/lib2/Lab.java
+++ b/review/lib2/Lab.java
@@ -165,6 +165,8 @@
         int pageItems = 500;
         /** Rises each time that the store comes back from a copy. */
         int era;
+        /** Whether calls are answered with 503. */
+        volatile boolean isDown;
         /** Time that an answer takes. */
         volatile long answerMs = 4;
         /** Called with the topic after each answer to a call for the newest records. */
@@ -208,6 +210,10 @@
             }
             String topic = query.get("topic");
             Thread.sleep(answerMs);
+            if (isDown) {
+                reply(connection, 503, "json", EMPTY);
+                return;
+            }
             if (path.startsWith("/v1/log-newest")) {
                 newest(topic, query.get("after"), connection);
             } else if (path.startsWith("/v1/log-append")) {
