Reject values of Pieces that are no numbers, and bound the numbers that callers and operators write

What callers saw: `Pieces: -1`, a number over 2^31 - 1, a text or more values than the route has stages counted as no or any number of pieces; the request waited and ended with 503 after 12 s, or at a target without its inputs. What operators saw: a manifest with a batch of -1 or of 0 is in force, and its queue divides by it; one with a slot count, a weight or a limit of 2^31 can't be decoded, so that all hosts keep the version before.

Cause: an Int is decoded where a document or a head may hold any number, and the result is used as it is.

Change: a value of Pieces that is no list of up to as many numbers as there are stages is answered with 400 at once, on routes with stages; the others ignore it. Declared counts are read as any number and bounded so that they can be divided by and added; times and sizes so that sums over targets do not overflow.

--- a/src/main/kotlin/front/CallerExchanges.kt
+++ b/src/main/kotlin/front/CallerExchanges.kt
@@ -80,6 +80,9 @@
 
             headers.id == null -> refuse(incoming, headers, BAD_REQUEST, "no request id")
 
+            !hasValidPieces(headers, route) ->
+                refuse(incoming, headers, BAD_REQUEST, "Pieces is not up to ${route.stages.size} numbers from 0 on")
+
             route.shares.isEmpty() ->
                 refuse(incoming, headers, UNAVAILABLE, "route ${route.name} has no service", STARTUP_RETRY_AFTER_MS)
 
@@ -108,6 +111,10 @@
         }
     }
 
+    /** Routes without stages ignore the number of pieces. */
+    private fun hasValidPieces(headers: CallerHeaders, route: Route): Boolean =
+        route.stages.isEmpty() || headers.pieces.let { it != null && it.size <= route.stages.size }
+
     /** Applies a decision of the control thread. Must be called on the event loop. */
     fun apply(effect: FlowEffect) {
         when (effect) {
@@ -154,7 +161,7 @@
             arrivedMs = now,
             deadlineMs = incoming.startedMs + timeoutMs,
             callerTimeoutMs = headers.deadlineMs,
-            pieces = if (route.stages.isEmpty()) emptyList() else headers.pieces,
+            pieces = if (route.stages.isEmpty()) emptyList() else headers.pieces.orEmpty(),
             pieceKey = headers.pieceKey,
             promptParts = headers.parts,
             fingerprint = "${incoming.method} ${incoming.uri} ${organisation?.name} ${bodyHash.toULong()}",
@@ -165,11 +172,11 @@
     }
 
     private fun chooseService(route: Route, id: String): String {
-        val totalWeight = route.shares.sumOf { it.weight }
+        val totalWeight = route.shares.sumOf { maxOf(0, it.weight).toLong() }
         if (route.shares.size == 1 || totalWeight <= 0) return route.shares.first().service
-        var remaining = (LongHashFunction.xx3().hashChars(id).toULong() % totalWeight.toULong()).toInt()
+        var remaining = (LongHashFunction.xx3().hashChars(id).toULong() % totalWeight.toULong()).toLong()
         return route.shares.first { share ->
-            remaining -= share.weight
+            remaining -= maxOf(0, share.weight)
             remaining < 0
         }.service
     }
--- a/src/main/kotlin/platform/ConfigDecoder.kt
+++ b/src/main/kotlin/platform/ConfigDecoder.kt
@@ -27,10 +27,13 @@
 
 private const val BYTES_PER_MB = 1_000_000.0
 private const val MS_PER_S = 1_000.0
-private const val DEFAULT_RANK = 5
+private const val DEFAULT_RANK = 5.0
 private const val MAX_ADDRESS_BYTE = 255
 private const val MAX_PORT = 65_535
-private const val DEFAULT_CONNECTIONS = 64
+private const val DEFAULT_CONNECTIONS = 64.0
+private const val MAX_DECLARED_COUNT = 1_000_000_000 // sums of two are still an Int
+private const val MAX_DECLARED_MS = 1e12 // 30 years; sums of times do not overflow
+private const val MAX_DECLARED_BYTES = 1_000_000_000_000_000L // sums over all targets do not overflow
 internal const val MAX_COLD_MS = 60_000.0 // a longer time is more likely a fault of the writer
 
 @Serializable
@@ -50,10 +53,10 @@
     val kind: String,
     @SerialName("timeout-ms") val timeoutMs: Double,
     @SerialName("target-latency-ms") val targetLatencyMs: Double = 0.0,
-    val priority: Int = DEFAULT_RANK,
+    val priority: Double = DEFAULT_RANK,
     val service: String? = null,
     val split: List<WireShare> = emptyList(),
-    @SerialName("max-attempts") val maxAttempts: Int = 1,
+    @SerialName("max-attempts") val maxAttempts: Double = 1.0,
     val stages: List<WireStage> = emptyList(),
     val public: Boolean = false,
     val resumable: Boolean = false,
@@ -62,7 +65,7 @@
 )
 
 @Serializable
-private data class WireShare(val service: String, val weight: Int)
+private data class WireShare(val service: String, val weight: Double)
 
 @Serializable
 private data class WireStage(val service: String, val after: List<Int> = emptyList(), val bytes: Double = 0.0)
@@ -71,7 +74,7 @@
 private data class WireService(
     val name: String,
     @SerialName("health-path") val healthPath: String = "/health",
-    @SerialName("max-conns") val maxConns: Int = DEFAULT_CONNECTIONS,
+    @SerialName("max-conns") val maxConns: Double = DEFAULT_CONNECTIONS,
     val pieces: WirePieces? = null,
     val engine: WireEngine? = null,
     @SerialName("cold-start-s") val coldStartS: Double = 0.0,
@@ -80,8 +83,8 @@
 
 @Serializable
 private data class WirePieces(
-    val slots: Int = 1,
-    val batch: Int = 1,
+    val slots: Double = 1.0,
+    val batch: Double = 1.0,
     @SerialName("call-ms") val callMs: Double = 0.0,
     @SerialName("item-ms") val itemMs: Double = 0.0,
     @SerialName("headroom-mb") val headroomMb: Double = 0.0,
@@ -89,21 +92,21 @@
 )
 
 @Serializable
-private data class WireEngine(val slots: Int = 1, @SerialName("kv-capacity") val kvCapacity: Double = 0.0)
+private data class WireEngine(val slots: Double = 1.0, @SerialName("kv-capacity") val kvCapacity: Double = 0.0)
 
 @Serializable
 private data class WireTenant(
     val name: String,
     @SerialName("api-keys") val apiKeys: List<String> = emptyList(),
-    val priority: Int? = null,
+    val priority: Double? = null,
     @SerialName("allowed-regions") val allowedRegions: List<String>? = null,
 )
 
 @Serializable
 private data class WireLimits(
-    @SerialName("max-header-bytes") val maxHeaderBytes: Int = 16_384,
-    @SerialName("max-body-bytes") val maxBodyBytes: Int = 4 * 1024 * 1024,
-    @SerialName("max-header-lines") val maxHeaderLines: Int? = null,
+    @SerialName("max-header-bytes") val maxHeaderBytes: Double = 16_384.0,
+    @SerialName("max-body-bytes") val maxBodyBytes: Double = 4.0 * 1024 * 1024,
+    @SerialName("max-header-lines") val maxHeaderLines: Double? = null,
     @SerialName("header-timeout-ms") val headerTimeoutMs: Double = 10_000.0,
     @SerialName("idle-timeout-ms") val idleTimeoutMs: Double = 60_000.0,
 )
@@ -115,13 +118,15 @@
     version,
     routes.map { it.toModel() },
     services.associate { it.name to it.toModel() },
-    tenants.map { CallerOrganisation(it.name, it.priority, it.apiKeys.toSet(), it.allowedRegions.toRegions()) },
+    tenants.map {
+        CallerOrganisation(it.name, it.priority?.toInt(), it.apiKeys.toSet(), it.allowedRegions.toRegions())
+    },
     RequestLimits(
-        limits.maxHeaderBytes,
-        limits.maxBodyBytes,
-        limits.headerTimeoutMs.toLong(),
-        limits.idleTimeoutMs.toLong(),
-    ).run { copy(maxHeaderLines = limits.maxHeaderLines ?: maxHeaderLines) },
+        limits.maxHeaderBytes.toCount(0),
+        limits.maxBodyBytes.toCount(0),
+        limits.headerTimeoutMs.coerceIn(0.0, MAX_DECLARED_MS).toLong(),
+        limits.idleTimeoutMs.coerceIn(0.0, MAX_DECLARED_MS).toLong(),
+    ).run { copy(maxHeaderLines = limits.maxHeaderLines?.toCount(0) ?: maxHeaderLines) },
 )
 
 private fun WireRoute.toModel() = Route(
@@ -134,17 +139,22 @@
         else -> RouteKind.UNSAFE
     },
     isResumable = resumable && kind == "streaming",
-    timeoutMs = timeoutMs.toLong(),
-    objectiveMs = targetLatencyMs.toLong(),
-    rank = priority,
-    shares = split.map { ServiceShare(it.service, it.weight) }.ifEmpty { listOfNotNull(service?.let(::fullShare)) },
-    maxAttempts = maxAttempts,
-    stages = stages.map { StageSpec(it.service, it.after, it.bytes.toLong()) },
+    timeoutMs = timeoutMs.coerceIn(0.0, MAX_DECLARED_MS).toLong(),
+    objectiveMs = targetLatencyMs.coerceIn(0.0, MAX_DECLARED_MS).toLong(),
+    rank = priority.toInt(),
+    shares = split.map {
+        ServiceShare(it.service, it.weight.toCount(0))
+    }.ifEmpty { listOfNotNull(service?.let(::fullShare)) },
+    maxAttempts = maxAttempts.toCount(1),
+    stages = stages.map { StageSpec(it.service, it.after, it.bytes.toLong().coerceIn(0, MAX_DECLARED_BYTES)) },
     isPublic = public,
-    gapObjectiveMs = gapAimMs.toLong(),
+    gapObjectiveMs = gapAimMs.coerceIn(0.0, MAX_DECLARED_MS).toLong(),
     allowedRegions = allowedRegions.toRegions(),
 )
 
+/** Returns a declared count as an Int from [least] on; one that is too large for an Int means no bound. */
+private fun Double.toCount(least: Int): Int = toInt().coerceIn(least, MAX_DECLARED_COUNT)
+
 /** An empty list states nothing: a route without any region would be of no use. */
 private fun List<String>?.toRegions(): Set<String>? = this?.toSet()?.takeIf { it.isNotEmpty() }
 
@@ -153,13 +163,19 @@
 private fun WireService.toModel() = ServiceSpec(
     name,
     healthPath,
-    maxConns,
+    maxConns.toCount(1),
     // Despite its name, 'headroom' is the whole space for results.
     pieces?.let {
-        val spaceBytes = (it.headroomMb * BYTES_PER_MB).toLong()
-        BatchSpec(it.slots, it.batch, it.callMs, it.itemMs, spaceBytes, (it.handleS * MS_PER_S).toLong())
+        BatchSpec(
+            it.slots.toCount(1),
+            it.batch.toCount(1),
+            it.callMs.coerceIn(0.0, MAX_DECLARED_MS),
+            it.itemMs.coerceIn(0.0, MAX_DECLARED_MS),
+            (it.headroomMb * BYTES_PER_MB).toLong().coerceIn(0, MAX_DECLARED_BYTES),
+            (it.handleS * MS_PER_S).coerceIn(0.0, MAX_DECLARED_MS).toLong(),
+        )
     },
-    engine?.let { EngineSpec(it.slots, it.kvCapacity.toLong()) },
+    engine?.let { EngineSpec(it.slots.toCount(1), it.kvCapacity.toLong().coerceIn(0, MAX_DECLARED_BYTES)) },
     // Without a rate, targets take their full load from the start.
     if (coldPerS > 0) ColdStart((maxOf(0.0, coldStartS) * MS_PER_S).toLong(), coldPerS) else null,
 )
--- a/src/main/kotlin/platform/RequestHeaders.kt
+++ b/src/main/kotlin/platform/RequestHeaders.kt
@@ -36,6 +36,7 @@
 private const val STORE_ERA = "Store-Era"
 private const val KEY_SCHEME = "Bearer "
 private const val MS_PER_S = 1_000.0
+private const val MAX_WAIT_MS = 24 * 60 * 60 * 1_000L // longer than any caller waits; sums of times do not overflow
 private const val MAX_SEARCHED_NAMES = 8 // of a Connection header; each search passes over a part of the head
 private const val MAX_PARTS = 64 // the quarantine looks at the first 16
 private const val MAX_PART_TOKENS = 10_000_000 // the sum of all parts is still an Int
@@ -61,7 +62,7 @@
  * The decoded headers of a caller's request.
  *
  * @property deadlineMs how long the caller waits; null if not specified.
- * @property pieces the number of pieces of each stage.
+ * @property pieces the number of pieces of each stage; null if they cannot be read.
  * @property maxOutputTokens how many tokens the answer has at most; null if not specified.
  */
 data class CallerHeaders(
@@ -70,7 +71,7 @@
     val key: String?,
     val deadlineMs: Long?,
     val lastEventId: String?,
-    val pieces: List<Int>,
+    val pieces: List<Int>?,
     val pieceKey: String?,
     val parts: List<PromptPart>,
     val maxOutputTokens: Int?,
@@ -82,14 +83,19 @@
     authority = headers.get(HttpHeaderNames.HOST).orEmpty().substringBefore(':'),
     key = headers.get(HttpHeaderNames.AUTHORIZATION)?.takeIf { it.startsWith(KEY_SCHEME, ignoreCase = true) }
         ?.substring(KEY_SCHEME.length)?.trim(),
-    deadlineMs = headers.get(DEADLINE)?.trim()?.toLongOrNull(),
+    deadlineMs = headers.get(DEADLINE)?.trim()?.toLongOrNull()?.coerceIn(0, MAX_WAIT_MS),
     lastEventId = headers.get(LAST_EVENT_ID),
-    pieces = headers.get(PIECES)?.split(',')?.map { it.trim().toIntOrNull() ?: 0 }.orEmpty(),
+    pieces = headers.get(PIECES)?.let(::decodePieces) ?: emptyList<Int>().takeIf { PIECES !in headers },
     pieceKey = headers.get(PIECE_KEY),
     parts = headers.get(PROMPT_PARTS)?.split(',')?.mapNotNull(::decodePart).orEmpty().let(::mergeLastParts),
     maxOutputTokens = headers.get(TOKEN_COUNTS)?.substringAfter(',', "")?.trim()?.toIntOrNull()?.takeIf { it >= 0 },
 )
 
+private fun decodePieces(text: String): List<Int>? {
+    if (text.isBlank()) return emptyList()
+    return text.split(',').map { part -> part.trim().toIntOrNull()?.takeIf { it >= 0 } ?: return null }
+}
+
 private fun decodePart(text: String): PromptPart? {
     val tokens = text.substringAfter(':', "").trim().toIntOrNull()?.takeIf { it in 0..MAX_PART_TOKENS } ?: return null
     return PromptPart(text.substringBefore(':').trim().take(MAX_PART_ID_LENGTH), tokens)
--- a/src/main/kotlin/routing/ServiceTargets.kt
+++ b/src/main/kotlin/routing/ServiceTargets.kt
@@ -101,7 +101,7 @@
         val state = stateOf(entry)
         val ageMs = now - state.reportedAtMs
         val reportedLoad = state.reportedLoad?.takeIf { ageMs < LOAD_REPORT_TTL_MS }
-        val others = reportedLoad?.let { maxOf(0, it.running + it.waiting - state.inProgressAtReport) } ?: 0
+        val others = reportedLoad?.let { maxOf(0, it.running.toLong() + it.waiting - state.inProgressAtReport) } ?: 0
         val timeRatio = reportedLoad?.timePercent?.let { timeRatio(it, ageMs) } ?: 1.0
         return (state.inProgress + others + 1) * timeRatio / maxOf(1, entry.slots)
     }
--- a/src/test/kotlin/platform/PlatformDecodersSpec.kt
+++ b/src/test/kotlin/platform/PlatformDecodersSpec.kt
@@ -6,8 +6,10 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
@@ -21,6 +23,7 @@
 import org.sesamerouter.routing.ReportedLoad
 import org.sesamerouter.routing.TargetNotice
 import org.sesamerouter.serving.ColdStart
+import org.sesamerouter.serving.PoolCapacity
 import org.sesamerouter.serving.RouteKind
 import java.nio.ByteBuffer
 
@@ -110,6 +113,27 @@
             config.limits.idleTimeoutMs shouldBe 9_000
         }
 
+        // Guards against hosts that keep an old configuration, or divide by zero, since a declared number is odd.
+        test("declarations with any number in any place are in force, with counts that can be divided by and added") {
+            val declared = Regex("\"([a-z-]+)\":([0-9.]+)").findAll(CONFIG).toList()
+            for (number in listOf("-1", "0", "2147483647", "2147483648", "9223372036854775807", "1e308")) {
+                for (match in declared.filter { it.groupValues[1] != "version" }) {
+                    val (name, value) = match.destructured
+                    val text = CONFIG.replaceRange(match.range, "\"$name\":$number")
+                    withClue("$name $value as $number") {
+                        val config = decodeServingConfig(text).shouldNotBeNull()
+                        val pool = config.services.getValue("s").batch.shouldNotBeNull()
+                        (PoolCapacity(pool, 3).leastMs(Int.MAX_VALUE.toLong()) >= 0) shouldBe true
+                        (pool.slots + pool.maxPieces > 0) shouldBe true
+                        config.route("shop.example", "/a/x").shouldNotBeNull().shares.sumOf {
+                            it.weight
+                        } shouldBeGreaterThan
+                            -1
+                    }
+                }
+            }
+        }
+
         test("an invalid configuration is rejected") {
             decodeServingConfig("{").shouldBeNull()
             decodeServingConfig("""{"version":1}""").shouldBeNull()
--- a/src/test/kotlin/soak/OddNumbersSpec.kt
+++ b/src/test/kotlin/soak/OddNumbersSpec.kt
@@ -92,4 +92,15 @@
                 exchange(host.addresses.requests, plan("few", "3")) shouldStartWith "HTTP/1.1 200"
             }
         }
+
+        test("a value that is no number of pieces for each stage is answered with 400") {
+            CrowdedHost(File("target/untrusted/no-pieces")).use { host ->
+                host.awaitReady() shouldBe true
+                for (value in listOf("-1", "1.5", "2147483648", "many", "1,1")) {
+                    withClue(value) {
+                        exchange(host.addresses.requests, plan("no-$value", value)) shouldStartWith "HTTP/1.1 400"
+                    }
+                }
+            }
+        }
     })
