Pass on the renewal of a held entry, and list the targets again when a service has none

Cause: an entry that was removed in an outage is held for 2.2 s with its old content. Its next record has the same content, so that the reader took it for a renewal that all hosts know and left it out of what it tells them; they know the removal, and dropped the target at the end of the hold.

Change: a record of a held entry is passed on. A host in which a service has had no target for a second, though the store is being read, lists the targets itself (MissingTargets, line targets-missing), at growing intervals while it has none: it must not depend on what one reader found worth telling.

TargetDirectorySpec for MissingTargets, which is new.

--- a/src/main/kotlin/discovery/TargetDirectory.kt
+++ b/src/main/kotlin/discovery/TargetDirectory.kt
@@ -184,9 +184,12 @@
         return if (changed.era == era) changed.offset else -1
     }
 
-    /** Whether all hosts that know the stream up to the start of [read] know the entry that [change] renews. */
+    /**
+     * Whether all hosts that know the stream up to the start of [read] know the entry that [change] renews. Of one that
+     * was removed and is held, they know the removal.
+     */
     private fun isKnownRenewal(change: EntryChange, read: EntryRead, now: Long): Boolean {
-        val entry = change.entry ?: return false
+        val entry = change.entry?.takeIf { change.id !in removalTimes } ?: return false
         val previous = known[change.id] ?: return false
         val isOld = previous.firstPosition.era == read.era && previous.firstPosition.offset < read.from
         return isOld && !entry.isDraining && previous.entry == entry && now - eraSeenAtMs >= NEW_ERA_MS
--- a/src/main/kotlin/front/FrontHost.kt
+++ b/src/main/kotlin/front/FrontHost.kt
@@ -520,6 +520,8 @@
         membership.setSeeds((addresses + settings.seedAddresses).distinct())
     }
 
+    override fun neededServices(): Set<String> = config?.services?.keys.orEmpty()
+
     override fun liveHosts(): Int = membership.live().size
 
     override fun readOrder(): Int {
--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -9,6 +9,7 @@
 import org.sesamerouter.clock.Clock
 import org.sesamerouter.discovery.EntryChange
 import org.sesamerouter.discovery.EntryRead
+import org.sesamerouter.discovery.MissingTargets
 import org.sesamerouter.discovery.TargetDirectory
 import org.sesamerouter.discovery.TargetEntry
 import org.sesamerouter.host.ControlLoop
@@ -48,6 +49,9 @@
     /** Called with the link addresses of the other hosts. */
     fun onHosts(addresses: List<String>)
 
+    /** Returns the services that have to have targets. */
+    fun neededServices(): Set<String>
+
     /** Returns the number of live hosts, including this one. */
     fun liveHosts(): Int
 
@@ -76,6 +80,7 @@
     /** Whether the store had changes behind the end of the last read, as after a list of several pages. */
     private var hasMore = false
 
+    private val missing = MissingTargets()
     private var era = 0L
     private var unreadableEntries = 0L
 
@@ -103,9 +108,22 @@
 
     /** Starts the reads that are due. */
     fun onTick(now: Long) {
+        listMissing(now)
         if (!isReadingTargets && now >= nextReadMs && isTargetReadDue(now)) readTargets(now)
     }
 
+    /** Lists the targets again if a service has none though some host reads the store. */
+    private fun listMissing(now: Long) {
+        val isFollowing = directory.position >= 0 && now - directory.lastContiguousReadMs < RECENT_READ_MS
+        if (!isFollowing || !missing.isListDue(listener.neededServices(), directory.targets.values, now)) return
+        log.write(
+            "targets-missing",
+            "services" to missing.services.toList().forLog(),
+            "known" to directory.targets.size,
+        )
+        directory.resetPosition()
+    }
+
     /** Whether a read of the targets by this host has succeeded recently. */
     fun reachesStore(now: Long): Boolean = now - lastSuccessMs < RECENT_READ_MS
 
--- a/src/test/kotlin/discovery/DirectoryFleetSpec.kt
+++ b/src/test/kotlin/discovery/DirectoryFleetSpec.kt
@@ -26,6 +26,9 @@
 private const val STEPS = 150
 private const val STEP_MS = 40L
 private const val LAST_STEP_MS = 400L
+private const val TICK_MS = 100L
+private const val HEARTBEAT_MS = 1_200L
+private const val RETURN_MS = 2_000L // live servers have written their entries again by then
 
 private fun entryOf(id: String, version: Int) =
     TargetEntry(id, "stock", "10.0.0.1:$version", "a", 1, isDraining = false, startTimeMs = 1L + version)
@@ -144,6 +147,78 @@
     }
 }
 
+/** Outages of the store in which entries lapse; one host reads, and the others know what it passes on. */
+private class ModelOutages(seed: Long) {
+    private val random = Random(seed)
+    private val stream = ArrayList<EntryChange>()
+    private val entries = sortedMapOf<String, TargetEntry>()
+    private val ids = List(KEYS) { "t$it" }
+    private val alive = ids.toMutableSet()
+    private val nextWriteMs = HashMap<String, Long>()
+    private val lapseMs = HashMap<String, Long>()
+    private val directories = Array(HOSTS) { TargetDirectory() }
+    private var now = 20_000L
+    private var isUp = true
+    private var nextReadMs = 0L
+
+    private fun write(id: String, entry: TargetEntry?) {
+        stream += EntryChange(id, stream.size.toLong(), entry)
+        if (entry == null) entries -= id else entries[id] = entry
+    }
+
+    fun run(): String? {
+        ids.forEach { write(it, entryOf(it, 0)) }
+        val list = stream.associateBy { it.id }.values.toList()
+        directories.forEach { it.onRead(EntryRead(-1, stream.size.toLong(), true, list), 0, now) }
+        repeat(2 + random.nextInt(2)) {
+            play(random.nextLong(400, 6_000), isStoreUp = true)
+            play(random.nextLong(300, 7_000), isStoreUp = false)
+        }
+        play(ms = 6_000, isStoreUp = true)
+        repeat(30) {
+            // no server writes any more; what was removed last is read, and no entry is held
+            now += TICK_MS
+            read()
+            directories.forEach { it.onTick(now) }
+        }
+        return directories.indices.firstOrNull { directories[it].targets != entries }
+            ?.let { "host $it knows ${directories[it].targets.keys.sorted()}, the store has ${entries.keys}" }
+    }
+
+    private fun play(ms: Long, isStoreUp: Boolean) {
+        isUp = isStoreUp
+        if (isUp) ids.forEach { nextWriteMs[it] = now + random.nextLong(RETURN_MS) }
+        val endMs = now + ms
+        while (now < endMs) {
+            now += TICK_MS
+            if (random.nextInt(200) == 0) alive -= ids.random(random)
+            ids.forEach(::onServer)
+            if (isUp && now >= nextReadMs) read()
+            directories.forEach { it.onTick(now) }
+        }
+    }
+
+    /** A live server writes its entry every heartbeat; one that does not is removed, also while the store is down. */
+    private fun onServer(id: String) {
+        if (isUp && id in alive && now >= nextWriteMs.getValue(id)) {
+            write(id, entryOf(id, 0))
+            nextWriteMs[id] = now + HEARTBEAT_MS
+            lapseMs[id] = now + 3 * HEARTBEAT_MS
+        }
+        if (id in entries && now >= (lapseMs[id] ?: Long.MAX_VALUE)) write(id, null)
+    }
+
+    private fun read() {
+        nextReadMs = now + random.nextLong(100, 600)
+        val reader = directories[0]
+        val changes = stream.drop(reader.position.toInt()).associateBy { it.id }.values.toList()
+        val read = EntryRead(reader.position, stream.size.toLong(), full = false, changes)
+        val result = reader.onRead(read, 0, now)
+        val update = read.copy(from = result.knownFrom, changes = result.forPeers)
+        directories.drop(1).forEach { it.onRead(update, 0, now) }
+    }
+}
+
 class DirectoryFleetSpec :
     FunSpec({
         test("hosts that list and read a store that changes between any two calls end with its entries") {
@@ -152,6 +227,15 @@
             }
         }
 
+        // Guards against RECOVER: hosts that were told of a removal but not of the renewal that followed have no target.
+        test(
+            "after outages in which entries lapse, all hosts know the entries of the store, also those that do not read",
+        ) {
+            checkAll(histories(seed = 92), Arb.long()) { seed ->
+                withClue("seed $seed") { ModelOutages(seed).run() shouldBe null }
+            }
+        }
+
         test("the model reports a list that claims to know what came before its last page") {
             val failed = (1L..400L).mapNotNull { seed -> ModelFleet(seed) { _, last -> last }.run() }
             println("negative control: ${failed.size} of 400 histories fail")
--- a/src/test/kotlin/discovery/TargetDirectorySpec.kt
+++ b/src/test/kotlin/discovery/TargetDirectorySpec.kt
@@ -82,6 +82,19 @@
             directory.targets.keys shouldBe setOf("t2")
         }
 
+        // Guards against RECOVER: a host without a target answers 503 until it is started again.
+        test("a host lists the targets itself once a service has had none for a second, less often while it has none") {
+            val missing = MissingTargets()
+            val desk = listOf(entry("t1").copy(service = "desk"))
+            val due = (0L..70_000L step 100).filter { missing.isListDue(setOf("desk", "stock"), desk, it) }
+            (due.first() in 1_000L..1_300L) shouldBe true
+            due.zipWithNext { a, b -> b - a }.all { it in 1_000..30_300 } shouldBe true
+            (due.size < 10) shouldBe true
+            missing.isListDue(setOf("desk"), desk, 80_000) shouldBe false
+            missing.isListDue(setOf("desk"), emptyList(), 81_000) shouldBe false
+            missing.isListDue(setOf("desk"), emptyList(), 82_100) shouldBe true
+        }
+
         test("a target that was draining when its entry expired is removed") {
             val directory = TargetDirectory()
             directory.onRead(full(5, EntryChange("t1", 4, entry("t1", draining = true))), 0, 0)
