Use an entry only if it has each listed field with its type, and let one of another writer change nothing

Cause: the decoder asked for five of the listed fields; it took the rest for what it could make of them.

Change: an entry without a listed field, or with one of another type, names no target. `born` may be missing, as in the example of the platform; of another type it may not. "It names no server to use; the others hold": such a record is left out as it is read, in a list and in the stream, so that what was known of the target holds until its own next entry or its removal. Before, a bad entry under a server's id took that server out of use. A held-back record without a part or a request is none. Hosts: a value that is no address is none (as before).

Tests: PlatformDecodersSpec, each field missing and of other types; PagedStoreSpec, a foreign entry in the stream and in a list.

--- a/src/main/kotlin/discovery/TargetDirectory.kt
+++ b/src/main/kotlin/discovery/TargetDirectory.kt
@@ -12,6 +12,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 
 private const val STORE_OUTAGE_AFTER_MS = 1_300L // three consecutive reads are missing
 private const val RECOVERY_HOLD_MS = 2_200L // targets renew their entries within about 2 s after the store recovers
@@ -50,6 +51,7 @@
  * holds for any host. Of other reads, a host passes on what its own knowledge at [from] lacked: a host that knew of
  * another change meanwhile cannot go on from them.
  *
+ * @property unreadable targets whose newest record, of another writer, is none; what was known of them holds.
  * @property latest offset before which a full read may have left out targets that were removed at [end] or later.
  */
 @Serializable
@@ -60,6 +62,7 @@
     val changes: List<EntryChange>,
     val era: Long = 0,
     val latest: Long = end,
+    @Transient val unreadable: Set<String> = emptySet(),
 )
 
 /**
@@ -323,7 +326,7 @@
     }
 
     private fun removeMissing(read: EntryRead, now: Long): List<EntryChange> {
-        val listed = read.changes.mapTo(HashSet()) { it.id }
+        val listed = read.changes.mapTo(HashSet(read.unreadable)) { it.id }
         val removed = known.filter { (id, record) ->
             val isOlder = record.position.era < read.era || record.position.offset < read.end
             id !in listed && record.entry != null && isOlder
--- a/src/main/kotlin/front/StoreAdapter.kt
+++ b/src/main/kotlin/front/StoreAdapter.kt
@@ -187,10 +187,20 @@
     }
 
     private fun toEntryRead(records: KeyedRecords, from: Long, full: Boolean): EntryRead {
-        val newest = records.records.associateBy { it.key }.values
-        val changes = newest.map { EntryChange(it.key, it.offset, it.text?.let { t -> toTarget(it.key, t) }) }
+        val newest = LinkedHashMap<String, EntryChange>()
+        val unreadable = HashSet<String>()
+        for (record in records.records) {
+            val entry = record.text?.let { toTarget(record.key, it) }
+            val isForeign = record.value != null && entry == null
+            if (isForeign) {
+                unreadable += record.key
+            } else {
+                newest[record.key] =
+                    EntryChange(record.key, record.offset, entry)
+            }
+        }
         val latest = if (full) records.available else records.end
-        return EntryRead(from, records.end, full, changes, records.era, latest)
+        return EntryRead(from, records.end, full, newest.values.toList(), records.era, latest, unreadable)
     }
 
     /** An entry that cannot be read, for example one of another writer, does not keep the others from being read. */
--- a/src/main/kotlin/platform/ConfigDecoder.kt
+++ b/src/main/kotlin/platform/ConfigDecoder.kt
@@ -181,24 +181,24 @@
 )
 
 /**
- * Decodes the discovery entry of the target [id]; returns null if it describes no usable target. Entries from other
- * writers may lack fields or contain arbitrary data.
+ * Decodes the discovery entry of the target [id]; returns null if it names no target. One that lacks a field of the
+ * platform's list, or has one of another type, is that of another writer, whatever its other fields say.
  */
 fun decodeTargetEntry(id: String, text: String): TargetEntry? {
     val fields = decodeDocument(JsonElement.serializer(), text) as? JsonObject ?: return null
     val state = fields.text("state")
-    val address = fields.text("address")?.takeIf(::isAddress)
-    if (address == null || state !in setOf("ready", "draining")) return null
+    if (state !in setOf("ready", "draining")) return null
+    if (fields.text("version") == null || fields.number("seq-no")?.longOrNull == null) return null
     return TargetEntry(
         id = id,
         service = fields.text("service") ?: return null,
-        address = address,
+        address = fields.text("address")?.takeIf(::isAddress) ?: return null,
         dataCentre = fields.text("zone") ?: return null,
         slots = fields.number("slots")?.intOrNull ?: return null,
         isDraining = state == "draining",
-        // 'born' is the start time of the process; older versions of the software do not write it.
-        startTimeMs = fields.number("born")?.longOrNull ?: 0,
-        coldLeftMs = fields.number("cold-left-ms")?.doubleOrNull?.coerceIn(0.0, MAX_COLD_MS)?.toLong() ?: 0,
+        // 'born' is the start time of the process. The list of fields and the platform's example do not have it.
+        startTimeMs = if ("born" in fields) fields.number("born")?.longOrNull ?: return null else 0,
+        coldLeftMs = fields.number("cold-left-ms")?.doubleOrNull?.coerceIn(0.0, MAX_COLD_MS)?.toLong() ?: return null,
     )
 }
 
--- a/src/main/kotlin/quarantine/QuarantineRecords.kt
+++ b/src/main/kotlin/quarantine/QuarantineRecords.kt
@@ -46,7 +46,7 @@
 /** Returns the record in [bytes]; null if they are none, for example those of another writer. */
 @OptIn(ExperimentalSerializationApi::class)
 fun decodeQuarantineRecord(bytes: ByteArray): QuarantineRecord? = try {
-    cbor.decodeFromByteArray(QuarantineRecord.serializer(), bytes)
+    cbor.decodeFromByteArray(QuarantineRecord.serializer(), bytes).takeIf { it.part != null || it.request != null }
 } catch (_: SerializationException) {
     null
 } catch (_: IllegalArgumentException) {
--- a/src/test/kotlin/front/PagedStoreSpec.kt
+++ b/src/test/kotlin/front/PagedStoreSpec.kt
@@ -32,6 +32,28 @@
             }
         }
 
+        // Guards against ROUTE: the entry names another service, and what it lacks shows that another writer wrote it.
+        test("an entry of another writer under a target's own id changes nothing, in a list and in the stream") {
+            Site().use { site ->
+                val store = site.platform.store
+                val model = site.platform.echoTarget()
+                val foreign = """{"service":"desk","address":"$model","zone":"west","slots":6,"state":"ready"}"""
+                site.declare(1, "\"k1\"")
+                site.register("m", "model", model)
+                site.startHost()
+                eventually(TIMEOUT) { site.targetCount(0) shouldBe 1 }
+                store.put("keyed.servers", "m", foreign)
+                site.register("n", "model", site.platform.echoTarget())
+                eventually(TIMEOUT) { site.targetCount(0) shouldBe 2 } // the host has read the foreign entry
+                site.send(0, "/look/a", "one").get().status shouldBe 503
+                store.isTruncated = true // the next read is a list, which has the foreign entry
+                site.register("o", "model", site.platform.echoTarget())
+                eventually(TIMEOUT) { site.targetCount(0) shouldBe 3 }
+                site.send(0, "/look/a", "two").get().status shouldBe 503
+                site.send(0, "/chat/a", "three").get().status shouldBe 200
+            }
+        }
+
         test("an evacuation that ends between two pages of the first list is not in force") {
             Site().use { site ->
                 val store = site.platform.store
--- a/src/test/kotlin/front/PlatformStandin.kt
+++ b/src/test/kotlin/front/PlatformStandin.kt
@@ -114,6 +114,10 @@
         @Volatile
         var isDown = false
 
+        /** Whether the next read of the stream of targets finds its history gone. */
+        @Volatile
+        var isTruncated = false
+
         /** Number of records in a page of a list. */
         @Volatile
         var pageSize = Int.MAX_VALUE
@@ -200,7 +204,9 @@
 
         private fun read(request: IncomingRequest, topic: String, from: Int, waitMs: Long) {
             val all = synchronized(this) { records[topic].orEmpty().toList() }
-            if (all.size < from) {
+            val isGone = isTruncated && topic == "keyed.servers"
+            if (isGone) isTruncated = false
+            if (all.size < from || isGone) {
                 request.reply(410, """{"first":0}""".toByteArray(), replyHeaders())
                 return
             }
--- a/src/test/kotlin/platform/PlatformDecodersSpec.kt
+++ b/src/test/kotlin/platform/PlatformDecodersSpec.kt
@@ -192,6 +192,33 @@
             foreign.forEach { decodeTargetEntry("i-1", it).shouldBeNull() }
         }
 
+        // Guards against ROUTE: an entry of another writer puts a server under a service that is not its own.
+        test("an entry names no target if any field of the list is missing or of another type") {
+            val fields = Regex("\"([a-z-]+)\":(\"[^\"]*\"|[0-9]+)").findAll(ENTRY).toList()
+            fields.map { it.groupValues[1] } shouldContainExactly
+                listOf("service", "address", "zone", "version", "slots", "state", "cold-left-ms", "seq-no", "born")
+            for (field in fields) {
+                val (name, value) = field.destructured
+                val others = if (value.startsWith(
+                        "\"",
+                    )
+                ) {
+                    listOf("7", "null", "[]")
+                } else {
+                    listOf("\"none\"", "null", "true", "{}")
+                }
+                for (other in others) {
+                    withClue("$name is $other") {
+                        decodeTargetEntry("i-1", ENTRY.replaceRange(field.range, "\"$name\":$other")).shouldBeNull()
+                    }
+                }
+                if (name == "born") continue // the platform's example of an entry does not have it
+                withClue("without $name") {
+                    decodeTargetEntry("i-1", ENTRY.replaceRange(field.range, "\"other\":1")).shouldBeNull()
+                }
+            }
+        }
+
         test("decoded records have consecutive offsets, and a record without a value removes its key") {
             fun record(key: String, value: String): ByteArray {
                 val body = byteArrayOf(key.length.toByte()) + key.toByteArray() + value.toByteArray()
