Write the record of a held-back request whatever the length of its path

Cause: its key has the path; keys of the log have 255 bytes, and StoreClient.append threw on the event loop, so that the writes behind it were not made either.

Change: a key that would be longer has a 128-bit hash of it in place of its end; shorter ones stay as hosts of an earlier version wrote them, and records are read by their value. An append whose key is too long ends as unreachable, with a line, and the other writes of its round are made. Other keys and headers with a caller's text: the key of a host is its name, ids of parts are cut at 128 characters as they are read; a request id is passed on as it came.

Test: QuarantineRecordsSpec. It calls what the change adds and was not run on the code before.

--- a/src/main/kotlin/platform/StoreClient.kt
+++ b/src/main/kotlin/platform/StoreClient.kt
@@ -135,7 +135,11 @@
     /** Appends [value] with [key] to [topic]; [done] receives the era of the store that holds it. */
     fun append(topic: KeyedTopic, key: String, value: ByteArray, done: (StoreOutcome<Long>) -> Unit) {
         val name = key.toByteArray()
-        require(name.size <= MAX_KEY_BYTES) { "key $key is longer than $MAX_KEY_BYTES bytes" }
+        if (name.size > MAX_KEY_BYTES) {
+            logger.warn("the record {} is not written: its key has {} bytes, over {}", key, name.size, MAX_KEY_BYTES)
+            done(StoreOutcome.Unreachable("the key has ${name.size} bytes, over $MAX_KEY_BYTES"))
+            return
+        }
         val size = 1 + name.size + value.size
         val body = ByteBuffer.allocate(Int.SIZE_BYTES + size).putInt(size).put(name.size.toByte()).put(name).put(value)
         call("POST", "/v1/log-append?topic=${topic.wireName}&part=0", body.array(), 0) { reply ->
--- a/src/main/kotlin/quarantine/QuarantineRecords.kt
+++ b/src/main/kotlin/quarantine/QuarantineRecords.kt
@@ -10,8 +10,12 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.cbor.CborLabel
+import net.openhft.hashing.LongHashFunction
 
 private const val RETRY_MS = 1_000L
+private const val MAX_KEY_BYTES = 255
+private val HASH_SEEDS = listOf(0L, 1L) // 128 bits, so that no two requests share a record
+private const val MAX_KEPT_CHARACTERS = 32 // of at most four bytes each, for those who read the log
 private const val MAX_RECORDS = 512 // twice the parts that a starting host is told
 
 /** A request that is quarantined since its [crashes]. */
@@ -26,12 +30,22 @@
     @CborLabel(1) val part: HeldPart? = null,
     @CborLabel(2) val request: QuarantinedRequest? = null,
 ) {
-    internal val key: String get() = part?.let { "part ${it.part}" } ?: "request ${request?.fingerprint}"
+    internal val key: String get() = part?.let { keyOf("part", it.part) }
+        ?: keyOf("request", request?.fingerprint.orEmpty())
 
     /** Rises with what the record has to tell; a record of the same revision is not written again. */
     internal val revision: Int get() = part?.trials ?: 0
 }
 
+/** Returns the key of a record; a long [text], which callers choose, is hashed, since keys of the log have 255 bytes. */
+private fun keyOf(kind: String, text: String): String {
+    val key = "$kind $text"
+    val bytes = key.toByteArray()
+    if (bytes.size <= MAX_KEY_BYTES) return key // as hosts of an earlier version wrote it
+    val hash = HASH_SEEDS.joinToString(".") { LongHashFunction.xx3(it).hashBytes(bytes).toULong().toString() }
+    return "$kind ${text.take(MAX_KEPT_CHARACTERS)} #$hash"
+}
+
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor {
     preferCborLabelsOverNames = true
--- a/src/test/kotlin/quarantine/QuarantineRecordsSpec.kt
+++ b/src/test/kotlin/quarantine/QuarantineRecordsSpec.kt
@@ -74,6 +74,22 @@
             fleet.log.keys.shouldBeEmpty()
         }
 
+        // Guards against BUDGET: a request with a long path crashes three more targets whenever a whole fleet is replaced.
+        test(
+            "requests with long paths have records with keys that the log takes, one each, and shorter ones keep theirs",
+        ) {
+            val texts =
+                listOf("a".repeat(400) + "1", "a".repeat(400) + "2", "\u00e9".repeat(300), "short", "b".repeat(247))
+            val keys = texts.map { QuarantineRecord(request = QuarantinedRequest(it, emptyList())).key }
+            keys.forEach { it.toByteArray().size shouldBeLessThanOrEqual 255 }
+            keys.toSet() shouldHaveSize texts.size
+            keys.takeLast(2) shouldBe listOf("request short", "request " + "b".repeat(247))
+            QuarantineRecord(
+                part = HeldPart("p".repeat(300), 0, emptyList(), 0, 0),
+            ).key.toByteArray().size shouldBeLessThanOrEqual
+                255
+        }
+
         test("the record of a part that was cleared is removed") {
             val fleet = Fleet(hosts = 4)
             repeat(CRASHES_TO_HOLD_PART) { fleet.crash(it, now = 0) }
