--- a/src/main/kotlin/front/StageRouter.kt
+++ b/src/main/kotlin/front/StageRouter.kt
@@ -8,7 +8,6 @@
 import org.sesamerouter.batching.CallOutcome
 import org.sesamerouter.batching.JobFailure
 import org.sesamerouter.batching.JobOutcome
-import org.sesamerouter.batching.PieceOutcome
 import org.sesamerouter.batching.PieceQueue
 import org.sesamerouter.batching.PoolEffect
 import org.sesamerouter.batching.StageJob
@@ -65,7 +64,7 @@
     private val clock: Clock,
     private val log: DecisionLog,
     private val random: RandomGenerator = Random(),
-    private val pieceMemory: PieceMemory = UnboundedPieceMemory,
+    pieceMemory: PieceMemory = UnboundedPieceMemory,
     private val onJobEnded: (String, JobOutcome) -> Unit,
 ) {
     private class PendingJob(val job: StageJob, val startedMs: Long) {
@@ -78,7 +77,7 @@
 
     private val pendingJobs = LinkedHashMap<String, PendingJob>()
     private val queues = HashMap<String, PieceQueue>()
-    private val repliesToRemoteJobs = HashMap<String, (StageReply) -> Unit>()
+    private val peerJobs = PeerJobs(pieceMemory)
     private val ownership = QueueOwnership(context, random)
 
     /** Learns of terms from other hosts, and checks owners for them. */
@@ -109,7 +108,7 @@
     val isSearching: Boolean get() = ownership.isSearching
 
     /** Number of jobs of other hosts in the queues of this one. */
-    val remoteJobs: Int get() = repliesToRemoteJobs.size
+    val remoteJobs: Int get() = peerJobs.size
 
     /** Submits a job of this host to the owner of its queue. */
     fun submit(job: StageJob) {
@@ -157,18 +156,13 @@
     }
 
     private fun runForPeer(job: StageJob, reply: (StageReply) -> Unit) {
-        if (job.job in repliesToRemoteJobs) cancelLocal(job.service, job.job)
-        val held = job.pieces.size.toLong() + job.inputs.size
-        if (!pieceMemory.tryHold(held)) {
-            log.write("job-rejected", "job" to job.job, "service" to job.service, "pieces" to job.pieces.size)
-            reply(StageReply(JobOutcome(failure = JobFailure.LATE), term = ownership.termOf(job.service)))
+        if (job.job in peerJobs) cancelLocal(job.service, job.job)
+        if (peerJobs.add(job, reply)) {
+            submitLocal(job)
             return
         }
-        repliesToRemoteJobs[job.job] = {
-            pieceMemory.release(held)
-            reply(it)
-        }
-        submitLocal(job)
+        log.write("job-rejected", "job" to job.job, "service" to job.service, "pieces" to job.pieces.size)
+        reply(StageReply(JobOutcome(failure = JobFailure.LATE), term = ownership.termOf(job.service)))
     }
 
     private fun moved(service: String) =
@@ -220,28 +214,12 @@
         queues.forEach { (service, queue) ->
             queue.isSuspended = !ownership.mayCall(service, now)
             apply(service, queue.onTick(now))
-            if (ownership.owns(service)) logStop(queue, now)
+            if (ownership.owns(service)) queue.takeStop(now)?.let { log.writeStop(queue, it) }
         }
         pendingJobs.values.filter { job -> job.retryAtMs?.let { it <= now } ?: false }.forEach(::assign)
         frees.onTick(now)
     }
 
-    private fun logStop(queue: PieceQueue, now: Long) {
-        val stop = queue.takeStop(now) ?: return
-        log.write(
-            "pool-stopped",
-            "service" to queue.service,
-            "waiting" to queue.waiting,
-            "no-call-ms" to stop.sinceCallMs,
-            "targets" to stop.targets,
-            "busy" to stop.busy,
-            "backing-off" to stop.backingOff,
-            "slow" to stop.slow,
-            "full" to stop.full,
-            "suspended" to queue.isSuspended,
-        )
-    }
-
     /** Applies changed targets or pool limits to the queues. */
     fun onTargets(now: Long) {
         for ((service, queue) in queues) {
@@ -383,11 +361,7 @@
     }
 
     private fun complete(service: String, job: String, outcome: JobOutcome) {
-        val reply = repliesToRemoteJobs.remove(job)
-        if (reply != null) {
-            reply(StageReply(outcome, context.self.host, ownership.termOf(service)))
-            return
-        }
+        if (peerJobs.end(job, StageReply(outcome, context.self.host, ownership.termOf(service)))) return
         val pending = pendingJobs[job] ?: return
         if (outcome.failure == JobFailure.MOVED) {
             assign(pending)
@@ -401,7 +375,7 @@
     /** Handles the end of a job in a queue of this host. The results of one that another owner runs now are freed. */
     private fun onJobDone(service: String, done: PoolEffect.Done) {
         val pending = pendingJobs[done.job]
-        val isForgotten = done.job !in repliesToRemoteJobs && pending?.owner != context.self.host
+        val isForgotten = done.job !in peerJobs && pending?.owner != context.self.host
         if (isForgotten) freeLocal(service, done.outcome.handles) else complete(service, done.job, done.outcome)
     }
 
@@ -413,11 +387,9 @@
 
     /** Returns the jobs of other hosts that have not ended, at the end of a shutdown, and cancels them here. */
     fun returnRemoteJobs() {
-        val replies = repliesToRemoteJobs.toMap()
-        repliesToRemoteJobs.clear()
-        for ((job, reply) in replies) {
+        for (job in peerJobs.ids) {
+            peerJobs.end(job, StageReply(JobOutcome(failure = JobFailure.MOVED)))
             queues.keys.forEach { cancelLocal(it, job) }
-            reply(StageReply(JobOutcome(failure = JobFailure.MOVED)))
         }
     }
 
@@ -447,40 +419,16 @@
         apply(service, queue.onSpaceReport(target.id, target.startTimeMs, freeBytes, clock.nowMs()))
     }
 
-    private fun logFailures(service: String, call: PoolEffect.Call, outcome: CallOutcome) {
-        val items = (outcome as? CallOutcome.Answered)?.items.orEmpty().filter { it !is PieceOutcome.Made }
-        if (items.isEmpty()) return
-        val reasons = items.groupingBy { it::class.simpleName }.eachCount()
-        log.write(
-            "pieces-not-made",
-            "service" to service,
-            "call" to call.call,
-            "target" to call.target.id,
-            "why" to reasons,
-        )
-    }
-
     private fun startCall(service: String, call: PoolEffect.Call) {
         if (!context.mayCall(call.target)) {
             // The queue backs off from the target as from one that has refused the call, and uses another one.
             queues[service]?.let { apply(service, it.onCallEnded(call.call, CallOutcome.Refused, clock.nowMs())) }
             return
         }
-        log.write(
-            "stage-call",
-            "service" to service,
-            "call" to call.call,
-            "target" to call.target.id,
-            "pieces" to call.items.size,
-            "waiting" to queues[service]?.waiting,
-            "oldest-ms" to call.oldestMs,
-            "used-bytes" to call.usedBytes,
-            "term" to ownership.termOf(service)?.number,
-            "requests" to call.items.map { it.request }.distinct().joinToString(","),
-        )
+        log.writeStageCall(service, call, queues[service]?.waiting, ownership.termOf(service)?.number)
         val maxConnections = context.config?.services?.get(service)?.maxConnections ?: 1
         targetClient.run(call, maxConnections) { outcome ->
-            logFailures(service, call, outcome)
+            log.writeNotMade(service, call, outcome)
             queues[service]?.let { apply(service, it.onCallEnded(call.call, outcome, clock.nowMs())) }
         }
     }
--- a/src/main/kotlin/platform/NewestList.kt
+++ b/src/main/kotlin/platform/NewestList.kt
@@ -7,7 +7,7 @@
 
 import kotlinx.serialization.Serializable
 
-// Of records that are of no use, only the keys are kept, for as many as a process has memory for: 3 MB of 255 bytes each.
+// Of records that are of no use, only the keys are kept: 3 MB if each has 255 bytes.
 private const val MAX_UNUSED_KEYS = 10_000
 private val UNUSED_VALUE = ByteArray(0)
 
@@ -31,8 +31,8 @@
 }
 
 /**
- * Collects the pages of one list; [decode] reads a record and returns null if nothing can use its value. Such a value is
- * not kept beyond its page. Not thread-safe.
+ * Collects the pages of one list; [decode] reads a record and returns null if nothing can use its value. Such a value
+ * is not kept beyond its page. Not thread-safe.
  */
 internal class NewestList(private val decode: (NewestItem) -> KeyedRecord?) {
     private val records = ArrayList<KeyedRecord>()
--- a/src/main/kotlin/quarantine/QuarantineRecords.kt
+++ b/src/main/kotlin/quarantine/QuarantineRecords.kt
@@ -37,7 +37,7 @@
     internal val revision: Int get() = part?.trials ?: 0
 }
 
-/** Returns the key of a record; a long [text], which callers choose, is hashed, since keys of the log have 255 bytes. */
+/** Returns the key of a record; a long [text], which callers choose, is hashed: keys of the log have 255 bytes. */
 private fun keyOf(kind: String, text: String): String {
     val key = "$kind $text"
     val bytes = key.toByteArray()
--- a/src/test/kotlin/discovery/DirectoryFleetSpec.kt
+++ b/src/test/kotlin/discovery/DirectoryFleetSpec.kt
@@ -227,9 +227,9 @@
             }
         }
 
-        // Guards against RECOVER: hosts that were told of a removal but not of the renewal that followed have no target.
+        // Guards against RECOVER: hosts that are told of a removal but not of the renewal after it have no target.
         test(
-            "after outages in which entries lapse, all hosts know the entries of the store, also those that do not read",
+            "after outages in which entries lapse, all hosts know the entries of the store, not the reader alone",
         ) {
             checkAll(histories(seed = 92), Arb.long()) { seed ->
                 withClue("seed $seed") { ModelOutages(seed).run() shouldBe null }
--- a/src/test/kotlin/platform/StoreReadSpec.kt
+++ b/src/test/kotlin/platform/StoreReadSpec.kt
@@ -65,7 +65,7 @@
             same.onPage(page, era = 0).shouldBeInstanceOf<ListStep.Unusable>()
         }
 
-        // Guards against RECOVER: a host that keeps the values of all pages runs out of memory each time that it starts.
+        // Guards against RECOVER: a host that keeps the values of all pages runs out of memory at each start.
         test("of records that are of no use, a list keeps the keys of a bounded number, and no values") {
             val list = NewestList { null }
             repeat(300) { page ->
--- a/src/test/kotlin/quarantine/QuarantineRecordsSpec.kt
+++ b/src/test/kotlin/quarantine/QuarantineRecordsSpec.kt
@@ -74,9 +74,9 @@
             fleet.log.keys.shouldBeEmpty()
         }
 
-        // Guards against BUDGET: a request with a long path crashes three more targets whenever a whole fleet is replaced.
+        // Guards against BUDGET: a request with a long path crashes three more targets after each fleet.
         test(
-            "requests with long paths have records with keys that the log takes, one each, and shorter ones keep theirs",
+            "requests with long paths have keys that the log takes, one each, and shorter ones keep theirs",
         ) {
             val texts =
                 listOf("a".repeat(400) + "1", "a".repeat(400) + "2", "\u00e9".repeat(300), "short", "b".repeat(247))
