--- a/src/test/kotlin/front/PagedStoreSpec.kt
+++ b/src/test/kotlin/front/PagedStoreSpec.kt
@@ -32,6 +32,27 @@
             }
         }
 
+        // Guards against DRAIN: the whole fleet learns the gap from the one host that reads.
+        test("a target whose entry is removed between two pages, after one host lost its place, is used by no host") {
+            Site().use { site ->
+                val store = site.platform.store
+                site.declare(1, "\"k1\"")
+                site.register("a", "desk", site.platform.echoTarget())
+                site.register("b", "desk", site.platform.echoTarget())
+                repeat(3) { store.put("keyed.servers", "x$it", FOREIGN_ENTRY) }
+                repeat(2) { site.startHost() }
+                site.awaitReady(2)
+                store.pageSize = 2
+                val isRemoved = AtomicBoolean()
+                store.onPage = { topic ->
+                    if (topic == "keyed.servers" && isRemoved.compareAndSet(false, true)) store.remove(topic, "a")
+                }
+                store.isTruncated = true
+                eventually(TIMEOUT) { isRemoved.get() shouldBe true }
+                eventually(TIMEOUT) { (0..1).forEach { site.targetCount(it) shouldBe 1 } }
+            }
+        }
+
         // Guards against ROUTE: the entry names another service, and what it lacks shows that another writer wrote it.
         test("an entry of another writer under a target's own id changes nothing, in a list and in the stream") {
             Site().use { site ->
